--- /dev/null
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -0,0 +1,171 @@
+// ridgeshift: the decisions of an HTTP load balancer run as a small bank of proxies.
+//
+// The embedding proxy feeds a Balancer with events and the clock, and carries out the actions that
+// come back. The Balancer does no I/O, reads no clock, starts no thread and keeps no globals: the same
+// seed, settings and events give the same actions.
+//
+// Misuse: an event that names an unknown request, attempt or host is ignored; so is a second request
+// under an id that is still open. A request of an unknown class is handled as Effect::fragile with the
+// lowest worth. Settings that make no sense are rejected by the constructor (std::invalid_argument).
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ridgeshift {
+
+using Duration = std::chrono::nanoseconds;
+using Time = std::chrono::nanoseconds;  // since any fixed start; must never go back
+using RequestId = std::uint64_t;        // chosen by the caller, never used again
+using HostId = std::uint32_t;           // given out by the Balancer at first sight of an address
+inline constexpr std::uint32_t kNone = UINT32_MAX;
+
+enum class Effect { retryable, dedup, fragile };  // may it run again?
+enum class Group { all, zone, cell };             // which hosts drop repeats of a dedup request together
+
+struct ClassSettings {
+  std::string name;
+  Duration aim{};     // full worth up to here
+  Duration giveUp{};  // the client's total wait
+  Duration window{};  // dedup: how long repeats are dropped
+  Effect effect = Effect::fragile;
+  Group group = Group::all;
+  double worth = 1;
+  double lateShare = 0;   // share of the worth for an answer past the aim
+  double aimStretch = 0;  // extra time on the aim, in multiples of the request's cost
+};
+
+struct TenantSettings {
+  std::string name;
+  double quotaPerSecond = 0;  // over all gateways; 0 = no quota
+};
+
+struct Settings {
+  std::uint64_t seed = 1;
+  std::uint32_t groupSize = 1;  // gateways in the bank, this one included
+  std::string zone;
+  std::vector<ClassSettings> classes;
+  std::vector<TenantSettings> tenants;
+  double overShareWorth = 0.1;    // worth left to what a tenant sends beyond its quota
+  bool askDiscovery = false;      // the host list comes only when asked for
+  bool warmKeys = false;          // a host that lately served a key serves it with less work
+  bool retryAfter = false;        // clients receive a retry-after
+  bool cancel = false;            // attempts may be cancelled
+  bool probes = false;            // hosts may be probed
+  bool peers = false;             // gateways may send each other messages
+  std::uint32_t myNumber = 0;     // of this gateway among groupSize, from 0
+  std::uint32_t maxAttempts = 1;  // for one request
+  Duration maxRetryAfter{};       // the longest that clients heed
+  Duration askWithin{};           // askDiscovery: longest silence towards discovery; 0 = no limit
+  Duration step{};                // spacing of the event batches: how late the clock may be read
+  Duration coldTime{};            // a host is warm this long after its start
+  double coldShare = 1;           // share of its capacity that it starts with
+  double fallMultiple = 3;        // a cold host falls when sent this multiple of its capacity
+  Duration fallWindow{};          // for this long
+};
+
+enum class Phase { in, draining, out };
+
+struct HostEntry {
+  std::string address;
+  std::string zone;
+  std::string kind;  // machine kind
+  std::int64_t cell = 0;
+  Phase phase = Phase::in;
+  Time upSince{};  // latest start; zero = long past
+};
+
+enum class ListKind { update, replace, restored, unavailable };
+
+struct Request {
+  RequestId id = 0;
+  std::uint32_t classIndex = kNone;   // into Settings::classes
+  std::uint32_t tenantIndex = kNone;  // into Settings::tenants
+  Duration left{};                    // until the client gives this try up
+  Duration cost{};                    // expected work; zero = not known
+  std::uint64_t key = 0;
+  bool hasKey = false;
+};
+
+enum class Outcome {
+  served,
+  error,          // may have run
+  full,           // turned away unseen
+  timeout,        // may have run
+  connectFailed,  // never ran
+  reset,          // may have run
+  cancelled,      // may have run
+  moot            // not sent
+};
+
+struct AttemptResult {
+  RequestId request = 0;
+  std::uint32_t attempt = 0;
+  HostId host = kNone;
+  Outcome outcome = Outcome::served;
+  Duration taken{};
+  bool terminal = false;  // nothing more is owed for the request
+};
+
+// A host's load as it reports it. NaN: not reported.
+struct LoadReport {
+  double inflight = std::numeric_limits<double>::quiet_NaN();  // requests it holds
+  double queue = std::numeric_limits<double>::quiet_NaN();     // requests waiting
+};
+
+struct ProbeResult {
+  HostId host = kNone;
+  bool ok = false;  // the host answered that it is well
+  LoadReport report;
+};
+
+enum class ActionKind { send, refuse, fail, cancel, wake, subscribe, probe, tell, log };
+
+struct Action {
+  ActionKind kind = ActionKind::log;
+  RequestId request = 0;      // send, refuse, fail, cancel
+  std::uint32_t attempt = 0;  // send, cancel: number of the attempt, from 0; tell: number of the peer
+  HostId host = kNone;        // send, probe
+  Duration span{};            // send: time limit; refuse: retry-after (0 = none); wake: the clock time
+  std::string text;           // log; tell: the bytes of the message, 256 at most
+};
+
+class Balancer {
+ public:
+  // Throws std::invalid_argument that says which setting is wrong.
+  Balancer(Settings settings, Time now);
+  ~Balancer();
+  Balancer(Balancer&&) noexcept;
+  Balancer& operator=(Balancer&&) noexcept;
+
+  void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
+  void onRequest(Time now, const Request& request);
+  void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
+  void onResult(Time now, const AttemptResult& result);
+  void onClientGone(Time now, RequestId request);
+  void onWake(Time now);  // at or after the time asked for in ActionKind::wake; extra calls do no harm
+
+  void onProbe(Time now, const ProbeResult& result);  // one for each ActionKind::probe
+  // A message of the gateway `from`, as that one's ActionKind::tell had it. Lost, late, repeated or corrupt
+  // ones do no harm.
+  void onPeer(Time now, std::uint32_t from, std::string_view bytes);
+
+  // Actions since the last clear, in the order in which they are to be carried out.
+  std::vector<Action>& actions();
+
+  HostId findHost(std::string_view address) const;  // kNone if no list has named it
+  const std::string& address(HostId host) const;
+  double cutoff() const;             // 0 to 100: scores below it are refused now
+  std::size_t openRequests() const;  // requests and attempts not yet over
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace ridgeshift
--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,928 @@
+// The decision module. Interface (types, events, actions): include/ridgeshift/ridgeshift.hpp.
+//
+// A request is scored 1 to 100 by worth, refused unsent when it scores below the cutoff, and otherwise sent
+// to a random ready host that holds few of our requests, else to the lighter of two draws. The cutoff is
+// 100 x^3, where x is the larger of the error overload and the in-flight overload of the pool. Where gateways
+// outnumber hosts and may probe or talk to peers, a look at a few hosts stands for our own in-flight.
+// Read on in this order: constants, host health, score, cutoff, cold start, pick, attempts, look, discovery,
+// timers. What is kept of hosts and requests: state.hpp; the bytes of peer messages: message.hpp.
+#include <algorithm>
+#include <cmath>
+
+#include "message.hpp"
+#include "ridgeshift/ridgeshift.hpp"
+#include "settings.hpp"
+#include "state.hpp"
+
+namespace ridgeshift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// --- Constants, each with its reason ------------------------------------------------------------------
+
+constexpr Duration kSweep = milliseconds(100);  // statistics are renewed this often: a few answer times
+constexpr double kSweepHosts = 32;              // longer lists are swept less often, for the CPU
+constexpr double kFastGain = 0.2;               // per sweep: rates over about half a second
+constexpr double kSlowGain = 0.008;             // per sweep: the traffic mix is remembered about ten seconds
+constexpr double kNormGain = 0.02;  // per answer: a class's usual time, over its last fifty answers
+constexpr double kPaceFade = 0.05;  // per sweep without requests: an old pace fades in two seconds
+constexpr double kPaceGain = 0.1;   // per answer: a host's pace, over its last ten answers
+
+// In-flight overload. By Little's law the mean time in flight is in-flight / rate, so the pool carries
+// `rate x aim` at most if answers are to be in time.
+constexpr double kMaxOfAim = 0.38;          // in-flight maximum: mean time at this share of the aim
+constexpr double kInflightThreshold = 0.5;  // share of that maximum below which nothing is cut
+constexpr double kHeldGain = 0.05;          // per arrival: in-flight over the last twenty arrivals
+constexpr double kHeldSweep = 0.5;          // per sweep
+// Danger: a gateway among a thousand sees two requests a second, and a half-second rate is then noise.
+constexpr double kLeastSamples = 20;  // no pool measure rests on fewer arrivals, however long that takes
+constexpr double kFirstPerHost = 6;   // maximum assumed for a host before anything was measured
+constexpr double kFloorPerHost = 2;  // held a host, by all gateways: the learned maximum never falls below it
+// Danger: hosts once driven over stay slow long after, and "full" is the first that one hears of it.
+constexpr double kFullEase = 4;        // times the share of "full" answers is taken off the maximum,
+constexpr double kFullEaseMost = 0.5;  // up to a half, and forgotten in half a second
+// Danger: when all hosts slow down together, a maximum that follows the sinking rate idles them. What a host
+// held while nothing was refused stays allowed.
+constexpr double kCalmFade = 0.001;  // per sweep: forgotten in some minutes
+// Error overload: share of failed attempts. A few per cent is everyday noise.
+constexpr double kErrorThreshold = 0.1;
+constexpr double kErrorMax = 0.7;
+constexpr double kFullError = 0.5;  // "full" where sparse: the noise of blind choice behind small rooms
+constexpr double kErrorPrior = 10;  // attempts assumed good, so that a handful of samples proves nothing
+
+constexpr double kQuotaBurst = 4;   // requests of one tenant that count as within its share at once
+constexpr std::size_t kDrawn = 24;  // hosts weighed for one pick: more would cost CPU and gain little
+constexpr double kLocalLean = 2;    // own zone in the draw: yields to a host 1.4 times as fast
+constexpr int kWarmCandidates = 3;  // hosts that share the warmth of one key
+constexpr double kFailGain = 0.12;  // per outcome: five failures on end make one half
+constexpr double kErrorGain =
+    0.5;  // the same per error answer, where sparse: rare in health, so one is proof
+constexpr double kFailEject = 0.45;  // failure share that ejects,
+constexpr double kFailPeers = 2.5;   // if it is also this many times that of the better quarter of the pool
+constexpr double kEjectShare = 0.5;  // of the pool at most, so a pool-wide trouble never empties it
+constexpr Duration kEjectFirst = seconds(1);  // doubled each time,
+constexpr double kEjectVisit = 8;             // times the first, at most, where a host is met seldom,
+constexpr int kEjectDoublings = 3;            // up to so often
+constexpr double kSilentNorms = 4;            // silent: nothing heard for so many times the usual time,
+constexpr Duration kSilentLeast = milliseconds(150);  // and at least for this long (short pauses are normal)
+
+constexpr double kProvenDecay = 0.997;  // per sweep: proven rates of a machine kind fade over half a minute
+constexpr int kFullRow = 3;             // "full" so often on end: not a short peak, the host rests,
+constexpr Duration kFullRest = milliseconds(20);  // an unloaded answer time, doubled at each further one
+constexpr int kFullDoublings = 5;                 // up to so often
+
+constexpr double kColdPart = 0.45;   // load of a cold host, as a part of the multiple that fells it
+constexpr double kLeftApart = 0.02;  // of the client's total wait: times closer than this are the same
+constexpr double kRetryShare = 0.3;  // resends per new request
+constexpr double kRetryBurst = 30;   // resends that may be saved up
+
+constexpr double kLookOfAim = 0.1;  // of the aim: how long a look before a send may take
+constexpr int kLookHosts = 3;       // probed for one send: beyond three the gain is small
+constexpr double kIdleLoad = 0.5;   // held less than this: idle, no need to wait for the other reports
+// By the time that the lightest host seen would need for the request, against its aim:
+constexpr double kWaitThreshold = 0.45;    // nothing is cut below,
+constexpr double kWaitMax = 0.85;          // everything from here on
+constexpr double kBareOfAim = 0.15;        // assumed time for each request held, against the aim,
+constexpr double kBarePrior = 10;          // with the weight of so many samples,
+constexpr double kBareSamples = 30;        // and measured over so many at most
+constexpr double kLast = 1000;             // held more than any host: ranks behind all that are well
+constexpr double kGroupHosts = 24;         // of one zone share a keeper: its lightest is almost the pool's
+constexpr Duration kDeafFor = seconds(3);  // a keeper that did not answer is passed over for so long
+
+}  // namespace
+
+struct Balancer::Impl : State {
+  Impl(Settings s, Time t) {
+    set = std::move(s);
+    engine.seed(set.seed);
+    now = started = quotaAt = t;
+    nextSweep = t + kSweep;
+    sweep = kSweep;
+    outcomeSeen = kErrorPrior;
+    bareOfAim = kBareOfAim;
+    bareSeen = kBarePrior;
+    retryTokens = kRetryBurst;
+    for (const ClassSettings& c : set.classes) {
+      classes.push_back({c, 0, 0, {}});
+      longestAim = std::max(longestAim, c.aim);
+      meanAim += toSeconds(c.aim) / static_cast<double>(set.classes.size());
+    }
+    ClassSettings unknown = set.classes.front();  // what nobody described: never repeated, lowest worth
+    unknown.name = "unknown";
+    unknown.effect = Effect::fragile;
+    unknown.worth = 0;
+    classes.push_back({unknown, 0, 0, {}});
+    quotaTokens.assign(set.tenants.size(), kQuotaBurst);
+  }
+
+  // --- Host health ------------------------------------------------------------------------------------
+
+  // Our own outcome: the class's usual time, and what the pool answers in time.
+  void judge(HostId id, const Open& r, const AttemptResult& a) {
+    ClassState& c = classes[r.cls];
+    Host& h = hosts[id];
+    const double taken = std::max(toSeconds(a.taken), 1e-6);  // zero would make every ratio meaningless
+    if (a.outcome == Outcome::served && c.norm <= 0) c.norm = taken / r.cost;
+    const double sample = c.norm > 0 ? std::min(taken / (c.norm * r.cost), 20.0) : 1;
+    if (a.outcome == Outcome::served) {
+      answers += 1;
+      h.served += 1;
+      c.norm += kNormGain * (taken / r.cost - c.norm);
+      // Danger: counted one by one, heavy answers make a gateway that is cut down to a heavy class think the
+      // pool slow and starve. By its usual time an answer weighs as its work.
+      const double weight = meanWork > 0 ? std::clamp(c.norm * r.cost / meanWork, 0.1, 10.0) : 1;
+      inTime += weight * (now <= r.aimAt ? 1 : c.set.lateShare);
+    }
+    // Time-outs count at their length: left out, a pool that turns slow would look as quick as its survivors.
+    if (r.load >= 0 && (a.outcome == Outcome::served || a.outcome == Outcome::timeout)) {
+      const double part = std::min(taken / toSeconds(c.set.aim), 1.0) / (r.load + 1);
+      bareSeen = std::min(bareSeen + 1, kBareSamples);
+      bareOfAim += (part - bareOfAim) / bareSeen;
+    }
+    learn(h, a.outcome, sample, true);
+    tellKeeper(h, peer::Kind::done, a.outcome, sample);
+    if (a.outcome == Outcome::cancelled || a.outcome == Outcome::moot) return;
+    outcomeSeen += 1;
+    h.outcomes += 1;
+    servedShare += ((a.outcome == Outcome::served) - servedShare) / kLeastSamples;
+    if (a.outcome == Outcome::full && h.fulls <= kFullRow) fullSeen += 1;  // beyond: only this host's trouble
+    if (a.outcome != Outcome::served) h.errors += a.outcome == Outcome::full && sparse() ? kFullError : 1;
+  }
+
+  // What an outcome, our own or one told to us as the host's keeper, shows of the host.
+  void learn(Host& h, Outcome outcome, double sample, bool own) {
+    bool failed = false;
+    switch (outcome) {
+      case Outcome::served:
+        h.heard = now;
+        h.fulls = 0;
+        learnPace(h, sample);
+        break;
+      case Outcome::full:  // Danger: a host that stays full, or drains unannounced, looks idle.
+        h.heard = now;
+        if (++h.fulls >= kFullRow)
+          h.restUntil =
+              now + scaled(kFullRest * (1 << std::min(h.fulls - kFullRow, kFullDoublings)), 0.5 + drawUnit());
+        return;
+      case Outcome::timeout:
+        if (sample > 1) learnPace(h, sample);
+        // Danger: a keeper hears of its own group only; in an overload it would eject all of it.
+        if (!own) return;
+        failed = true;
+        break;
+      case Outcome::error:
+        h.heard = now;
+        failed = true;
+        break;
+      case Outcome::connectFailed:
+      case Outcome::reset: failed = true; break;
+      case Outcome::cancelled:
+      case Outcome::moot: return;
+    }
+    const double gain = outcome == Outcome::error && sparse() ? kErrorGain : kFailGain;
+    h.fails += gain * ((failed ? 1.0 : 0.0) - h.fails);
+    if (h.health != Health::trial) return;
+    if (failed) {
+      eject(h, "trial failed");
+    } else {
+      h.health = Health::good;
+      h.fails = 0;
+      if (mayLog()) log("host returned " + h.entry.address);
+    }
+  }
+
+  void learnPace(Host& h, double sample) {
+    Kind& k = kinds[h.kind];
+    h.pace += kPaceGain * (sample - h.pace);
+    k.pace += kNormGain * (sample - k.pace);
+  }
+
+  void eject(Host& h, const char* why) {
+    h.health = Health::ejected;
+    // Danger: with little traffic a host is met so seldom that a short ejection spares it nothing.
+    const double visit = static_cast<double>(listed.size()) * toSeconds(sweep) / std::max(arrivalRate, 0.001);
+    const double first = std::clamp(visit / toSeconds(kEjectFirst), 1.0, kEjectVisit);
+    h.until = now + scaled(kEjectFirst * (1 << h.ejections), first * (0.75 + 0.5 * drawUnit()));
+    h.ejections = std::min(h.ejections + 1, kEjectDoublings);
+    if (mayLog()) log("host ejected " + h.entry.address + " (" + why + ")");
+  }
+
+  double memory(double gain) const {  // per sweep: `gain`, or less until enough samples are in it
+    return std::min(gain, std::max(arrivalRate, 0.001) / kLeastSamples);
+  }
+
+  void sweepHosts() {
+    std::vector<double> paces, fails;
+    const double fade = 1 - memory(kFastGain);
+    std::size_t away = 0;
+    for (HostId id : listed) {
+      Host& h = hosts[id];
+      h.rate += kFastGain * (h.served / toSeconds(sweep) - h.rate);
+      // Danger: a pace learned in trouble keeps requests away, and without them it would never change. It
+      // returns to that of its kind, which is learned sooner; or, where a look compares hosts, to the median.
+      if (h.served <= 0 && h.inflight == 0)
+        h.pace += kPaceFade * ((looks() ? medianPace : kinds[h.kind].pace) - h.pace);
+      h.served = 0;
+      h.outcomes *= fade;
+      h.errors *= fade;
+      if (h.health == Health::ejected && now >= h.until) h.health = Health::trial;  // by real requests
+      if (h.health != Health::good) ++away;
+      paces.push_back(h.pace);
+      fails.push_back(h.fails);
+      // Danger: a paused or lost host gathers requests until they time out.
+      while (!h.sent.empty() && !outTry(h.sent.front(), id)) h.sent.pop_front();
+      const Duration limit =
+          std::max(kSilentLeast, scaled(seconds(1), kSilentNorms * meanWork * std::max(1.0, h.pace)));
+      h.silent = !h.sent.empty() && now - std::max(h.heard, outTry(h.sent.front(), id)->at) > limit;
+    }
+    medianPace = quantile(paces, 0.5, 1);
+    peerFails = quantile(fails, 0.25, 0);  // a quarter of the peers well: the others are outliers
+    for (HostId id : listed) {  // judged against the peers, so that a pool-wide trouble ejects nobody
+      Host& h = hosts[id];
+      if (h.health != Health::good ||
+          static_cast<double>(away + 1) > kEjectShare * static_cast<double>(listed.size()))
+        continue;
+      if (h.fails > std::max(kFailEject, kFailPeers * peerFails)) {
+        eject(h, "failing");
+        ++away;
+      } else if (h.ejections > 0 && h.fails < 0.05 && now > h.until + 4 * kEjectFirst) {
+        h.ejections = 0;
+      }
+    }
+  }
+
+  const Try* outTry(RequestId id, HostId host) const {
+    const auto it = requests.find(id);
+    if (it == requests.end()) return nullptr;
+    const Open& r = it->second;
+    for (std::uint32_t i = 0; i < r.count; ++i)
+      if (r.tries[i].out && r.tries[i].host == host) return &r.tries[i];
+    return nullptr;
+  }
+  static bool sick(const Host& h) { return h.health != Health::good || h.silent; }
+
+  // --- Score ------------------------------------------------------------------------------------------
+
+  // Worth of what the request can still earn, by request or by unit of work as the worth is counted.
+  double worthOf(const Open& r, std::uint32_t tenant) {
+    const ClassSettings& c = classes[r.cls].set;
+    double worth = c.worth;
+    if (now >= r.aimAt) worth *= c.lateShare;
+    if (tenant < set.tenants.size() && set.tenants[tenant].quotaPerSecond > 0) {
+      // Danger: a share of under one request a second would never fill a bucket of one second.
+      const double passed = toSeconds(now - quotaAt);
+      quotaAt = now;
+      for (std::size_t i = 0; i < quotaTokens.size(); ++i) {
+        const double share = set.tenants[i].quotaPerSecond / set.groupSize;
+        quotaTokens[i] = std::min(quotaTokens[i] + passed * share, std::max(share, kQuotaBurst));
+      }
+      if (quotaTokens[tenant] >= 1) quotaTokens[tenant] -= 1;
+      else worth *= set.overShareWorth;
+    }
+    return worth;
+  }
+
+  // Rank within the recent traffic: a cutoff of c refuses about c per cent. A seeded draw spreads each
+  // level over its own band, so equal worth shares the loss and higher worth is never cut first.
+  double scoreOf(double worth) {
+    std::size_t at = 0;
+    while (at < levels.size() && levels[at].worth < worth * 0.999) ++at;
+    if (at == levels.size() || levels[at].worth > worth * 1.001 + 1e-12)
+      levels.insert(levels.begin() + static_cast<std::ptrdiff_t>(at), Level{worth, 0});
+    levels[at].seen += 1;
+    double below = 0, all = 0;
+    for (std::size_t i = 0; i < levels.size(); ++i) {
+      all += levels[i].seen;
+      if (i < at) below += levels[i].seen;
+    }
+    return 1 + 99 * (below + drawUnit() * levels[at].seen) / all;
+  }
+
+  // --- Cutoff -----------------------------------------------------------------------------------------
+
+  double inflightMax() const {
+    const double count = static_cast<double>(std::max<std::size_t>(listed.size(), 1));
+    const double ease = 1 - std::min(kFullEase * fullSeen / outcomeSeen, kFullEaseMost);
+    // Before anything was measured (own start in an overload) and after a lull, per-host guesses stand in.
+    const double least =
+        guessing() ? kFirstPerHost * ease / set.groupSize : std::max(kFloorPerHost / set.groupSize, calmHeld);
+    return std::max(fastRate * meanAim * kMaxOfAim * ease, least * count + 2);
+  }
+  bool guessing() const { return now - started < 10 * kSweep || answers < kLeastSamples; }
+
+  double heldNow() const {
+    double held = 0;
+    for (HostId id : listed)
+      if (!sick(hosts[id])) held += hosts[id].inflight;  // one bad host must not lift the pool's cut
+    return held;
+  }
+
+  static double curve(double x) { return 100 * std::pow(std::clamp(x, 0.0, 1.0), 3); }
+
+  void renewCut() {
+    const double most = inflightMax();
+    const double load = (smoothHeld / most - kInflightThreshold) / (1 - kInflightThreshold);
+    cut = curve(std::max(looks() ? 0 : load, errorOverload));
+  }
+
+  void sweepPool() {
+    const double gain = memory(kFastGain);
+    arrivalRate +=
+        (arrivalSweeps < 1 / kSlowGain ? 1 / ++arrivalSweeps : kSlowGain) * (arrivals - arrivalRate);
+    arrivals = 0;
+    fastRate += gain * (inTime / toSeconds(sweep) - fastRate);
+    inTime = 0;
+    calmHeld *= 1 - kCalmFade;
+    if (cut <= 1 && now - started > 15 * kSweep && !listed.empty())
+      calmHeld = std::max(calmHeld, smoothHeld / static_cast<double>(listed.size()));
+    fullSeen *= 1 - gain;
+    outcomeSeen += gain * (kErrorPrior - outcomeSeen);
+    double outcomes = kErrorPrior, errors = 0;
+    for (HostId id : listed) {
+      if (sick(hosts[id])) continue;
+      outcomes += hosts[id].outcomes;
+      errors += hosts[id].errors;
+    }
+    errorOverload = (errors / outcomes - kErrorThreshold) / (kErrorMax - kErrorThreshold);
+    for (Level& l : levels) l.seen *= 1 - kSlowGain;
+    levels.erase(std::remove_if(levels.begin(), levels.end(), [](const Level& l) { return l.seen < 0.01; }),
+                 levels.end());
+    smoothHeld += (heldNow() - smoothHeld) * memory(kHeldSweep);  // with few arrivals a burst would linger
+    renewCut();
+    const int step = static_cast<int>(cut / 20);
+    if (step != loggedCut && mayLog()) {
+      loggedCut = step;
+      log("cutoff " + std::to_string(static_cast<int>(cut)) + " error overload " +
+          std::to_string(errorOverload));
+    }
+  }
+
+  // --- Cold start -------------------------------------------------------------------------------------
+
+  bool isCold(const Host& h) const {
+    return h.entry.upSince > Time{} && now - h.entry.upSince < set.coldTime;
+  }
+  double warmth(const Host& h) const {
+    if (!isCold(h)) return 1;
+    return set.coldShare + (1 - set.coldShare) * toSeconds(now - h.entry.upSince) / toSeconds(set.coldTime);
+  }
+
+  // More gateways than hosts: our own in-flight and rates say next to nothing of what a host carries.
+  bool sparse() const { return set.groupSize > listed.size(); }
+
+  // Danger: all gateways together push a cold host over. Each keeps to its own part of what it has warm hosts
+  // of that kind carry, in every window, refused attempts counted.
+  bool coldMayTake(Host& h) {
+    if (!isCold(h)) return true;
+    if (sparse()) return false;  // by drawCold only
+    double rate = kinds[h.kind].proven;
+    const double window = std::max(toSeconds(set.fallWindow), 0.1);
+    rate = std::max(rate * warmth(h) * kColdPart * set.fallMultiple, 1 / window);
+    h.coldTokens =
+        std::min(h.coldTokens + rate * toSeconds(now - h.coldAt), std::max(1.0, rate * window / 4));
+    h.coldAt = now;
+    return h.coldTokens >= 1;
+  }
+
+  // Danger: of a thousand gateways each would claim one send at least in every window. A sparse one has a
+  // draw over all listed hosts offer each of its sends to one, and a cold one takes it with the probability
+  // of its warmth, times the share of sends that are answered, as an overload is sent over and over: whatever
+  // the gateways carry, their sum is the part of an even share of what the pool does.
+  HostId drawCold(const Open& r, double part) {
+    if (!sparse() || listed.empty()) return kNone;
+    const HostId id = listed[drawBelow(listed.size())];
+    const Host& h = hosts[id];
+    return isCold(h) && usable(r, id) && drawUnit() < warmth(h) * part * servedShare ? id : kNone;
+  }
+
+  // What a warm host of each kind has lately carried. Danger: in a deploy of nearly all hosts the last warm
+  // ones are buried, and their sinking rates would starve the cold ones that could help; hence a slow decay.
+  void sweepKinds() {
+    double all = 0, warm = 0;
+    for (HostId id : listed)
+      if (!isCold(hosts[id]) && !sick(hosts[id])) all += hosts[id].rate, warm += 1;
+    for (std::size_t k = 0; k < kinds.size(); ++k) {
+      double rates = 0, count = 0;
+      for (HostId id : listed)
+        if (hosts[id].kind == k && !isCold(hosts[id]) && !sick(hosts[id]))
+          rates += hosts[id].rate, count += 1;
+      const double mean = count > 0 ? rates / count : 0;
+      kinds[k].proven = std::max(mean, kinds[k].proven * kProvenDecay);
+      if (kinds[k].proven <= 0 && warm > 0) kinds[k].proven = all / warm;
+    }
+  }
+
+  // --- Pick -------------------------------------------------------------------------------------------
+
+  double load(const Host& h) const { return (h.inflight + 1) * h.pace; }
+  bool idle(const Host& h) const {  // holds none of ours; a fast host may hold more
+    return h.inflight < std::max(1.0, medianPace / std::max(h.pace, 0.05));
+  }
+
+  bool allowed(const Open& r, const Host& h) const {  // the rule on repeats
+    const ClassSettings& c = classes[r.cls].set;
+    for (std::uint32_t i = 0; i < r.count; ++i) {
+      if (!r.tries[i].mayHaveRun || c.effect == Effect::retryable) continue;
+      if (c.effect == Effect::fragile) return false;
+      const HostEntry& first = hosts[r.tries[i].host].entry;
+      if (c.group != Group::all && first.zone != h.entry.zone) return false;
+      if (c.group == Group::cell && first.cell != h.entry.cell) return false;
+      if (now + 2 * set.step > r.tries[i].at + c.window) return false;
+    }
+    return true;
+  }
+
+  bool usable(const Open& r, HostId id) const {
+    const Host& h = hosts[id];
+    if (now < h.restUntil || h.silent || h.health == Health::ejected ||
+        (h.health == Health::trial && h.inflight > 0))
+      return false;
+    for (std::uint32_t i = 0; i < r.count; ++i)
+      if (r.tries[i].host == id) return false;
+    return allowed(r, h);
+  }
+
+  void gather(const Open& r, bool relaxed) {  // up to kDrawn hosts, from a random place in the list on
+    ready.clear();
+    const std::size_t from = drawBelow(listed.size());
+    for (std::size_t i = 0; i < listed.size() && ready.size() < kDrawn; ++i) {
+      const HostId id = listed[(from + i) % listed.size()];
+      if ((relaxed ? allowed(r, hosts[id]) : usable(r, id)) && coldMayTake(hosts[id])) ready.push_back(id);
+    }
+  }
+
+  HostId pick(const Open& r) {
+    const HostId cold = drawCold(r, 1);
+    if (cold != kNone) return cold;
+    gather(r, false);
+    if (ready.empty()) gather(r, true);  // no healthy host: any that the rules allow beats none
+    if (ready.empty()) return drawCold(r, kColdPart * set.fallMultiple - 1);
+    if (set.warmKeys && r.hasKey) {
+      // Warm keys: the first hosts in the key's rendezvous order, the same at all gateways.
+      const std::size_t most = std::min<std::size_t>(kWarmCandidates, ready.size());
+      std::partial_sort(
+          ready.begin(), ready.begin() + static_cast<std::ptrdiff_t>(most), ready.end(),
+          [&](HostId a, HostId b) { return mix(hosts[a].hash ^ r.key) > mix(hosts[b].hash ^ r.key); });
+      for (std::size_t i = 0; i < most; ++i)
+        if (idle(hosts[ready[i]])) return ready[i];
+      ready.resize(most);
+    }
+    // Danger: beside many gateways our own in-flight says little, every host looks idle, and the own zone is
+    // overrun; so the draw leans towards hosts that answer fast, and towards the own zone only lightly.
+    double sum = 0;
+    HostId chosen = kNone;
+    for (HostId id : ready) {
+      const Host& h = hosts[id];
+      if (!idle(h)) continue;
+      const double weight = (h.local ? kLocalLean : 1) / std::max(std::pow(h.pace, sparse() ? 4 : 2), 0.01);
+      sum += weight;
+      if (drawUnit() * sum < weight) chosen = id;
+    }
+    if (chosen != kNone) return chosen;
+    const HostId a = ready[drawBelow(ready.size())], b = ready[drawBelow(ready.size())];
+    return load(hosts[a]) <= load(hosts[b]) ? a : b;
+  }
+
+  // --- Attempts ---------------------------------------------------------------------------------------
+
+  Open* find(RequestId id) {
+    const auto it = requests.find(id);
+    return it == requests.end() ? nullptr : &it->second;
+  }
+
+  void release(const Open& r) {
+    if (r.ended && r.out == 0) requests.erase(r.id);
+  }
+
+  void finish(Open& r) {  // a refusal claims that a retry is harmless, so it needs proof; else an error
+    const ClassSettings& c = classes[r.cls].set;
+    bool mayHaveRun = false;
+    for (std::uint32_t i = 0; i < r.count; ++i) mayHaveRun |= r.tries[i].mayHaveRun;
+    const bool harmless = !mayHaveRun || c.effect == Effect::retryable ||
+                          (c.effect == Effect::dedup && c.group == Group::all && r.out == 0);
+    emit(harmless ? ActionKind::refuse : ActionKind::fail, r.id);
+    end(r);
+  }
+
+  void refuse(Open& r) {  // unsent, for overload
+    // Retry-after lengthens as the score falls; jittered, or they would all come due together.
+    Duration after{};
+    if (set.retryAfter) after = scaled(set.maxRetryAfter, (1 - r.score / 100) * (0.5 + 0.5 * drawUnit()));
+    emit(ActionKind::refuse, r.id, 0, kNone, after);
+    end(r);
+  }
+
+  void end(Open& r) {
+    r.ended = true;
+    cancelOut(r);
+    release(r);
+  }
+
+  void cancelOut(Open& r, std::uint32_t except = kNone) {  // work that can no longer earn
+    if (!set.cancel) return;
+    for (std::uint32_t i = 0; i < r.count; ++i)
+      if (r.tries[i].out && !r.tries[i].cancelled && i != except) {
+        r.tries[i].cancelled = true;
+        emit(ActionKind::cancel, r.id, i);
+      }
+  }
+
+  // Latest time at which an answer still earns and still reaches the client.
+  Time lastUse(const Open& r) const {
+    const Time end = r.deadline - 2 * set.step;
+    return classes[r.cls].set.lateShare > 0 ? end : std::min(end, r.aimAt - 2 * set.step);
+  }
+
+  bool canSend(const Open& r) const {
+    return lastUse(r) > now && r.count < std::min<std::size_t>(set.maxAttempts, kTries);
+  }
+
+  bool send(Open& r, HostId id, bool advised = false) {
+    if (id == kNone || !canSend(r)) return false;
+    Host& h = hosts[id];
+    if (isCold(h)) h.coldTokens -= 1;
+    r.tries[r.count] = {id, now, true, true, false};
+    h.sent.push_back(r.id);
+    ++h.inflight;
+    ++r.out;
+    emit(ActionKind::send, r.id, r.count++, id, lastUse(r) - now);
+    if (!advised) tellKeeper(h, peer::Kind::took);
+    return true;
+  }
+
+  // --- Look -------------------------------------------------------------------------------------------
+
+  // Danger: among a thousand gateways our own in-flight leaves every host looking idle; chosen blindly, some
+  // are driven over while others idle. So where own figures are sparse, look before each send: probe a few
+  // drawn hosts, or ask the keeper of the drawn host. Each host has one gateway as its keeper, by hash, which
+  // is told of sends and outcomes and counts what all gateways hold there. It is word only: late, lost or
+  // wrong, the plain pick stands in, and what the list and the rules forbid stays forbidden.
+
+  bool route(Open& r) {  // false: no attempt is out or will be
+    if (!canSend(r)) return false;
+    const HostId drawn = pick(r);
+    if (drawn == kNone) return false;
+    r.load = -1;
+    const Duration wait = scaled(classes[r.cls].set.aim, kLookOfAim);
+    if (!looks() || lastUse(r) - now < 2 * wait) return send(r, drawn);
+    r.best = kNone;
+    r.bestLoad = HUGE_VAL;
+    if (set.probes) {
+      probe(r, drawn);
+      for (int i = 1; i < kLookHosts; ++i) {
+        const HostId other = pick(r);
+        if (other != drawn && !isCold(hosts[other])) probe(r, other);
+      }
+    } else {
+      r.best = drawn;
+      const std::uint32_t keeper = keeperOf(hosts[drawn].group);
+      if (keeper == set.myNumber) {
+        r.best = advise(drawn, r.bestLoad);
+        decide(r, true);
+        return true;
+      }
+      tell(keeper, {peer::Kind::ask, hosts[drawn].hash32(), r.id, {}, 0});
+      r.looking = 1;
+    }
+    guards.push({now + wait, r.id});
+    return true;
+  }
+
+  bool looks() const { return sparse() && (set.probes || set.peers); }
+
+  void probe(Open& r, HostId id) {
+    hosts[id].probes.push_back(r.id);
+    ++r.looking;
+    emit(ActionKind::probe, 0, 0, id);
+  }
+
+  void decide(Open& r, bool advised = false) {
+    r.looking = 0;
+    r.load = r.bestLoad < HUGE_VAL ? r.bestLoad : -1;
+    // In-flight overload as seen: the time that the lightest host needs, against the aim. Danger: beyond it
+    // low scores would crowd out high ones, and crowded hosts turn slow for long.
+    const double x = ((r.load + 1) * bareOfAim - kWaitThreshold) / (kWaitMax - kWaitThreshold);
+    const bool cutOff = r.count == 0 && r.score < curve(x);
+    const bool good = r.best != kNone && hosts[r.best].entry.phase == Phase::in && usable(r, r.best);
+    if (advised && (cutOff || !good)) tellKeeper(hosts[r.best], peer::Kind::done, Outcome::moot);
+    if (cutOff) refuse(r);
+    else if (!send(r, good ? r.best : pick(r), advised && good)) finish(r);
+  }
+
+  Open* lookerOf(RequestId id) {
+    Open* r = find(id);
+    return r && !r->ended && r->looking > 0 ? r : nullptr;
+  }
+
+  void onProbe(const ProbeResult& p) {
+    if (p.host >= hosts.size() || hosts[p.host].probes.empty()) return;
+    Host& h = hosts[p.host];
+    Open* r = lookerOf(h.probes.front());
+    h.probes.pop_front();
+    if (!r) return;
+    const double held = std::isfinite(p.report.inflight) ? p.report.inflight : p.report.queue;
+    const double load = p.ok && held >= 0 ? held : HUGE_VAL;
+    if (load < r->bestLoad) {
+      r->best = p.host;
+      r->bestLoad = load;
+    }
+    if (--r->looking == 0 || load < kIdleLoad) decide(*r);
+  }
+
+  std::uint32_t keeperOf(std::uint64_t group) const {
+    const auto it = deaf.find(group);
+    const std::uint64_t shift =
+        it != deaf.end() && now < it->second ? 1 : 0;  // a silent keeper has a stand-in
+    return static_cast<std::uint32_t>(mix(group + shift) % set.groupSize);
+  }
+
+  void tell(std::uint32_t to, const peer::Message& m) {
+    out.push_back({ActionKind::tell, 0, to, kNone, {}, peer::encode(m)});
+  }
+  void tellKeeper(Host& h, peer::Kind kind, Outcome outcome = {}, double sample = 0) {
+    if (!sparse() || !set.peers || set.probes) return;
+    const std::uint32_t keeper = keeperOf(h.group);
+    if (keeper == set.myNumber) note(h, kind);
+    else tell(keeper, {kind, h.hash32(), 0, outcome, sample});
+  }
+
+  void note(Host& h, peer::Kind kind) {  // as its keeper: one more or one fewer is held
+    h.heldByTold(now);
+    if (kind != peer::Kind::done) h.told.push_back(now + longestAim);
+    else if (!h.told.empty()) h.told.pop_front();
+  }
+
+  HostId advise(HostId drawn, double& least) {  // a drawn cold host only if it is idle
+    HostId best = kNone;
+    double lowest = HUGE_VAL, same = 0;
+    for (HostId id : listed) {
+      Host& h = hosts[id];
+      if (h.group != hosts[drawn].group || (isCold(h) && id != drawn)) continue;
+      const double slow = isCold(h) ? 1 : std::max(h.pace / medianPace, 1.0);
+      const double load = static_cast<double>(h.heldByTold(now) + 1) * slow - 1;
+      const bool last = sick(h) || now < h.restUntil || (isCold(h) && load > 0);
+      const double rank = isCold(h) && !last ? -1 : load + (last ? kLast : 0);
+      if (rank < lowest) same = 0;
+      if (rank > lowest || drawUnit() * ++same >= 1) continue;
+      best = id;
+      lowest = rank;
+      least = load;
+    }
+    if (best != kNone) note(hosts[best], peer::Kind::ask);
+    return best;
+  }
+
+  void onPeer(std::uint32_t from, std::string_view bytes) {
+    peer::Message m;
+    if (from >= set.groupSize || !set.peers || !peer::decode(bytes, m)) return;
+    const auto it = byHash.find(m.host);
+    if (it == byHash.end()) return;  // a list of ours may lag
+    Host& h = hosts[it->second];
+    if (m.kind == peer::Kind::advice) {
+      Open* r = lookerOf(m.mark);
+      if (!r || set.probes) return;
+      r->best = it->second;
+      r->bestLoad = m.sample;
+      decide(*r, true);
+    } else if (m.kind == peer::Kind::ask) {
+      double load = 0;
+      const HostId best = advise(it->second, load);
+      if (best != kNone) tell(from, {peer::Kind::advice, hosts[best].hash32(), m.mark, {}, load});
+    } else {
+      note(h, m.kind);
+      if (m.kind == peer::Kind::done) learn(h, m.outcome, m.sample, false);
+    }
+  }
+
+  void onRequest(const Request& q) {
+    const auto [it, fresh] = requests.try_emplace(q.id);
+    if (!fresh) return;
+    Open& r = it->second;
+    r.id = q.id;
+    r.cls = q.classIndex < set.classes.size() ? q.classIndex : static_cast<std::uint32_t>(set.classes.size());
+    ClassState& c = classes[r.cls];
+    const double cost = toSeconds(q.cost);
+    if (cost > 0) c.meanCost = c.meanCost > 0 ? c.meanCost + kNormGain * (cost - c.meanCost) : cost;
+    r.cost = cost > 0 ? std::clamp(cost / c.meanCost, 0.2, 5.0) : 1.0;
+    r.key = q.key;
+    r.hasKey = q.hasKey;
+    r.deadline = now + q.left;
+    // Clients give single tries the same time, and a later one what is left of their total wait. A try whose
+    // time is not the usual one (a running median) tells how much was spent before; that no longer earns.
+    if (c.usualLeft == Duration{}) c.usualLeft = q.left;
+    const Duration apart = scaled(c.set.giveUp, kLeftApart);
+    const bool usual = q.left > c.usualLeft - apart && q.left < c.usualLeft + apart;
+    const Duration spent = usual ? Duration{} : std::max(c.set.giveUp - q.left, Duration{});
+    c.usualLeft += q.left < c.usualLeft ? -apart / 8 : apart / 8;
+    r.aimAt = now - spent + c.set.aim + scaled(q.cost, c.set.aimStretch);
+    // Where late answers still earn, the time that counts reaches past the aim by that share.
+    const Duration late = scaled(std::min(c.usualLeft - c.set.aim, c.set.aim), c.set.lateShare);
+    meanAim += kNormGain * (toSeconds(c.set.aim + late) - meanAim);
+    if (c.norm > 0) meanWork += (meanWork > 0 ? kNormGain : 1.0) * (c.norm * r.cost - meanWork);
+    retryTokens = std::min(retryTokens + kRetryShare, kRetryBurst);
+    arrivals += 1;
+    r.score = scoreOf(worthOf(r, q.tenantIndex));
+    if (!looks()) smoothHeld += (heldNow() - smoothHeld) * kHeldGain;
+    renewCut();
+    if (r.score < cut) {
+      refuse(r);
+    } else {
+      guards.push({r.deadline - set.step, r.id});
+      if (!route(r)) finish(r);
+    }
+  }
+
+  void onResult(const AttemptResult& a) {
+    Open* found = find(a.request);
+    if (!found || a.attempt >= found->count || !found->tries[a.attempt].out) return;
+    Open& r = *found;
+    Try& t = r.tries[a.attempt];
+    Host& h = hosts[t.host];
+    t.out = false;
+    --r.out;
+    --h.inflight;
+    if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
+      t.mayHaveRun = false;
+    judge(t.host, r, a);
+    if (a.terminal && !r.ended) {
+      r.ended = true;
+      cancelOut(r);
+    }
+    if (r.ended) return release(r);
+    if (r.bound || r.out > 0 || r.looking > 0) return;
+    const bool again = lastUse(r) > now && retryTokens >= 1 && a.outcome != Outcome::moot;
+    if (again && route(r)) retryTokens -= 1;
+    else finish(r);
+  }
+
+  void onAnswerStarted(RequestId id, std::uint32_t attempt) {
+    Open* r = find(id);
+    if (!r || r->ended || attempt >= r->count) return;
+    r->bound = true;
+    cancelOut(*r, attempt);
+  }
+
+  void onClientGone(RequestId id) {
+    Open* r = find(id);
+    if (r && !r->ended) end(*r);
+  }
+
+  // --- Discovery --------------------------------------------------------------------------------------
+
+  void onHosts(ListKind kind, const std::vector<HostEntry>& entries) {
+    if (kind == ListKind::unavailable) {
+      askFailures = std::min(askFailures + 1, 4);
+      asking = false;
+      const Duration wait = scaled(milliseconds(500) * (1 << askFailures), 0.5 + 0.5 * drawUnit());
+      askAgain = now + (set.askWithin > Duration{} ? std::min(wait, set.askWithin / 3) : wait);
+      return;
+    }
+    if (kind == ListKind::restored) {
+      if (set.askDiscovery) askAgain = now;  // it may be stale: ask at once
+    } else {
+      askFailures = 0;
+    }
+    if (kind != ListKind::restored) answered = true;
+    if (kind != ListKind::update)
+      for (Host& h : hosts) h.entry.phase = Phase::out;  // what a whole list leaves out is gone
+    for (const HostEntry& e : entries) {
+      auto [it, fresh] = hostIds.emplace(e.address, static_cast<HostId>(hosts.size()));
+      if (fresh) {
+        hosts.emplace_back();
+        hosts.back().hash = hashText(e.address);
+        byHash.emplace(hosts.back().hash32(), it->second);
+      }
+      Host& h = hosts[it->second];
+      const bool restarted = fresh || e.upSince != h.entry.upSince;
+      h.entry = e;
+      h.local = e.zone == set.zone;
+      h.kind = 0;
+      while (h.kind < kinds.size() && kinds[h.kind].name != e.kind) ++h.kind;
+      if (h.kind == kinds.size()) kinds.push_back({e.kind, 0, 1});
+      if (restarted) {  // a new process: what was learned of the old one is void
+        h.health = Health::good;
+        h.ejections = 0;
+        h.fails = h.rate = 0;
+        h.fulls = 0;
+        h.silent = false;
+        h.told.clear();
+        h.pace = kinds[h.kind].pace / std::sqrt(warmth(h));
+        h.coldTokens = 1;
+        h.coldAt = now;
+      }
+    }
+    listed.clear();
+    for (HostId id = 0; id < hosts.size(); ++id)
+      if (hosts[id].entry.phase == Phase::in) listed.push_back(id);
+    std::unordered_map<std::string, double> inZone;
+    for (HostId id : listed) inZone[hosts[id].entry.zone] += 1;
+    for (HostId id : listed) {  // groups by powers of two, so that views a few hosts apart agree on them
+      const double parts = std::exp2(std::round(std::log2(inZone[hosts[id].entry.zone] / kGroupHosts)));
+      hosts[id].group = mix(hashText(hosts[id].entry.zone) +
+                            hosts[id].hash % static_cast<std::uint64_t>(std::max(parts, 1.0)));
+    }
+    std::sort(listed.begin(), listed.end(),
+              [&](HostId a, HostId b) { return hosts[a].entry.address < hosts[b].entry.address; });
+  }
+
+  void ask() {
+    // Danger: a call whose answer is lost would leave the gateway silent towards discovery for good.
+    const bool lost = !answered && set.askWithin > Duration{} && now - askedAt > set.askWithin / 2;
+    if (!set.askDiscovery || (asking && !lost) || now < askAgain) return;
+    emit(ActionKind::subscribe);
+    asking = true;  // until it fails
+    answered = false;
+    askedAt = now;
+  }
+
+  // --- Timers -----------------------------------------------------------------------------------------
+
+  void onWake() {
+    while (!guards.empty() && guards.top().at <= now) {
+      const Guard g = guards.top();
+      guards.pop();
+      Open* open = find(g.id);
+      // Danger: an outcome that never comes would leave the client without an answer.
+      if (!open || open->ended || open->bound) continue;
+      Open& r = *open;
+      if (now >= r.deadline - set.step) {
+        finish(r);
+      } else if (r.looking > 0) {
+        if (!set.probes && r.best != kNone) deaf[hosts[r.best].group] = now + kDeafFor;
+        decide(r);
+      }
+    }
+    if (now >= nextSweep) {
+      sweep = scaled(kSweep, std::max(1.0, static_cast<double>(listed.size()) / kSweepHosts));
+      nextSweep = now + sweep;
+      sweepHosts();
+      sweepKinds();
+      sweepPool();
+    }
+  }
+
+  void arm() {
+    for (; !guards.empty(); guards.pop()) {
+      const Open* r = find(guards.top().id);
+      if (r && !r->ended) break;
+    }
+    Time want = guards.empty() ? nextSweep : std::min(nextSweep, guards.top().at);
+    want = std::max(want, now + Duration(1));
+    if (armed > now && armed <= want) return;
+    armed = want;
+    emit(ActionKind::wake, 0, 0, kNone, want);
+  }
+
+  template <class Event>
+  void at(Time t, Event event) {
+    now = std::max(now, t);  // danger: a clock that goes back would make ages negative
+    event(*this);
+    ask();
+    arm();
+  }
+};
+
+Balancer::Balancer(Settings settings, Time now) {
+  validate(settings);
+  impl_ = std::make_unique<Impl>(std::move(settings), now);
+}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries) {
+  impl_->at(now, [&](Impl& i) { i.onHosts(kind, entries); });
+}
+void Balancer::onRequest(Time now, const Request& request) {
+  impl_->at(now, [&](Impl& i) { i.onRequest(request); });
+}
+void Balancer::onAnswerStarted(Time now, RequestId request, std::uint32_t attempt) {
+  impl_->at(now, [&](Impl& i) { i.onAnswerStarted(request, attempt); });
+}
+void Balancer::onResult(Time now, const AttemptResult& result) {
+  impl_->at(now, [&](Impl& i) { i.onResult(result); });
+}
+void Balancer::onClientGone(Time now, RequestId request) {
+  impl_->at(now, [&](Impl& i) { i.onClientGone(request); });
+}
+void Balancer::onWake(Time now) {
+  impl_->at(now, [&](Impl& i) { i.onWake(); });
+}
+void Balancer::onProbe(Time now, const ProbeResult& result) {
+  impl_->at(now, [&](Impl& i) { i.onProbe(result); });
+}
+void Balancer::onPeer(Time now, std::uint32_t from, std::string_view bytes) {
+  impl_->at(now, [&](Impl& i) { i.onPeer(from, bytes); });
+}
+std::vector<Action>& Balancer::actions() { return impl_->out; }
+HostId Balancer::findHost(std::string_view address) const {
+  const auto it = impl_->hostIds.find(std::string(address));
+  return it == impl_->hostIds.end() ? kNone : it->second;
+}
+const std::string& Balancer::address(HostId host) const { return impl_->hosts.at(host).entry.address; }
+double Balancer::cutoff() const { return impl_->cut; }
+std::size_t Balancer::openRequests() const { return impl_->requests.size(); }
+
+}  // namespace ridgeshift
--- /dev/null
+++ b/src/state.hpp
@@ -0,0 +1,177 @@
+// What the decision module keeps of hosts and requests, and its arithmetic. Nothing is decided here.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <queue>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "ridgeshift/ridgeshift.hpp"
+
+namespace ridgeshift {
+
+inline double toSeconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+inline Duration scaled(Duration d, double by) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(d.count()) * by));
+}
+
+inline std::uint64_t mix(std::uint64_t x) {  // splitmix64 finisher
+  x += 0x9e3779b97f4a7c15ULL;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+inline std::uint64_t hashText(std::string_view text) {  // FNV-1a: the same at every gateway
+  std::uint64_t h = 0xcbf29ce484222325ULL;
+  for (unsigned char c : text) h = (h ^ c) * 0x100000001b3ULL;
+  return mix(h);
+}
+
+inline double quantile(std::vector<double>& v, double at, double none) {
+  if (v.empty()) return none;
+  const auto nth = v.begin() + static_cast<std::ptrdiff_t>(at * static_cast<double>(v.size() - 1));
+  std::nth_element(v.begin(), nth, v.end());
+  return *nth;
+}
+
+constexpr Duration kLogEvery = std::chrono::seconds(1);  // log lines are few
+constexpr std::size_t kTries = 8;                        // attempts kept for one request
+
+enum class Health { good, ejected, trial };
+
+struct Host {
+  HostEntry entry;
+  std::uint64_t hash = 0;
+  std::uint32_t hash32() const { return static_cast<std::uint32_t>(hash); }
+  bool local = false;
+  int inflight = 0;
+  double pace = 1;  // time taken against the class's usual time
+  double fails = 0;
+  double served = 0, rate = 0;      // answers since the last sweep; answers a second
+  std::size_t kind = 0;             // into kinds
+  double outcomes = 0, errors = 0;  // decayed counts, for the pool's error rate
+  Health health = Health::good;
+  Time until{};  // end of the ejection
+  int ejections = 0;
+  bool silent = false;
+  Time heard{};
+  int fulls = 0;  // "full" answers on end
+  Time restUntil{};
+  double coldTokens = 0;
+  Time coldAt{};
+  std::deque<RequestId> sent;    // in order of sending
+  std::deque<RequestId> probes;  // requests that wait for its report
+  std::uint64_t group = 0;       // of the hosts that have one keeper
+  std::deque<Time> told;  // as their keeper: when each attempt that gateways told of is over at the latest
+  std::size_t heldByTold(Time now) {  // drops what is over
+    while (!told.empty() && told.front() <= now) told.pop_front();
+    return told.size();
+  }
+};
+
+struct Try {
+  HostId host = kNone;
+  Time at{};
+  bool out = false, mayHaveRun = false, cancelled = false;
+};
+
+struct Open {
+  RequestId id = 0;
+  std::uint32_t cls = kNone;
+  Time deadline{}, aimAt{};
+  double cost = 0;  // against the class's mean
+  std::uint64_t key = 0;
+  bool hasKey = false, ended = false, bound = false;
+  double score = 0, load = -1;  // load: held by the host that a look found; below 0: not known
+  int looking = 0;              // reports or advice waited for
+  HostId best = kNone;          // of those heard of so far
+  double bestLoad = 0;
+  std::array<Try, kTries> tries;
+  std::uint32_t count = 0, out = 0;
+};
+
+struct Kind {  // machines of one size
+  std::string name;
+  double proven = 0;  // answers a second that a warm host of this kind gave us, kept for a while
+  double pace = 1;    // of its hosts, over the last fifty answers
+};
+
+struct Level {  // requests of one worth, for the ranks
+  double worth = 0, seen = 0;
+};
+
+struct ClassState {
+  ClassSettings set;
+  double norm = 0;      // seconds; zero until the first answer
+  double meanCost = 0;  // seconds, of the hints
+  Duration usualLeft{};
+};
+
+struct Guard {
+  Time at;
+  RequestId id;
+  bool operator>(const Guard& o) const { return at != o.at ? at > o.at : id > o.id; }
+};
+
+struct State {  // of one gateway
+  Settings set;
+  std::mt19937_64 engine;
+  std::vector<Action> out;
+  std::vector<Host> hosts;
+  std::unordered_map<std::string, HostId> hostIds;
+  std::unordered_map<std::uint32_t, HostId> byHash;  // as peers name them
+  std::unordered_map<std::uint64_t, Time> deaf;      // groups whose keeper is silent: until when
+  Duration longestAim{}, sweep{};
+  std::vector<HostId> listed;  // phase `in`, in order of address: the same order at every start
+  std::vector<ClassState> classes;
+  std::vector<Kind> kinds;
+  std::vector<double> quotaTokens;
+  Time quotaAt{};
+  std::unordered_map<RequestId, Open> requests;
+  std::vector<Level> levels;
+  std::priority_queue<Guard, std::vector<Guard>, std::greater<>> guards;
+  std::vector<HostId> ready;
+
+  Time now{}, started{}, nextSweep{}, armed{};
+  double smoothHeld = 0, cut = 0, errorOverload = 0;
+  double inTime = 0, fastRate = 0;  // answers within the aim: since the sweep; a second
+  double arrivals = 0, arrivalRate = 0, arrivalSweeps = 0,
+         answers = 0;                // since the sweep; a sweep, remembered like the mix
+  double fullSeen = 0, outcomeSeen;  // decayed counts
+  double calmHeld = 0;               // in-flight a host while nothing is refused
+  double meanAim = 0, meanWork = 0;  // seconds over the recent arrivals: aim, usual time
+  double medianPace = 1, peerFails = 0;
+  double servedShare = 0.5;            // share of attempts that are served, over the last twenty
+  double bareOfAim = 0, bareSeen = 0;  // time for each request held, against the aim
+  double retryTokens = 0;
+  bool asking = false, answered = false;
+  Time askedAt{}, askAgain{};
+  int askFailures = 0;
+  Time logged{};
+  int loggedCut = 0;
+
+  // Own draws: std distributions differ between standard libraries.
+  double drawUnit() { return static_cast<double>(engine() >> 11) * 0x1.0p-53; }
+  std::size_t drawBelow(std::size_t n) {
+    return static_cast<std::size_t>(drawUnit() * static_cast<double>(n));
+  }
+
+  void emit(ActionKind kind, RequestId id = 0, std::uint32_t attempt = 0, HostId host = kNone,
+            Duration span = {}) {
+    out.push_back({kind, id, attempt, host, span, {}});
+  }
+  void log(std::string text) {
+    out.push_back({ActionKind::log, 0, 0, kNone, {}, std::move(text)});
+    logged = now;
+  }
+  bool mayLog() const { return now - logged >= kLogEvery || logged == Time{}; }
+};
+
+}  // namespace ridgeshift
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,587 @@
+// The ordinary path and the four rules.
+#include <random>
+#include <set>
+
+#include "driver.hpp"
+
+namespace ridgeshift::testing {
+namespace {
+
+// --- Score and cutoff ---
+
+TEST(Cutoff, ZeroBelowTheThresholdThenCubic) {
+  Driver d(makeSettings(), 10);  // a first maximum of 6 a host and 2 over: 62
+  bool rose = false, zero = false;
+  double smooth = 0;
+  for (int i = 0; i < 300; ++i) {
+    const double held = static_cast<double>(d.out.size());
+    const std::size_t before = d.out.size();
+    d.request(0);
+    smooth += 0.05 * (held - smooth);
+    const double x = std::clamp((smooth / 62 - 0.5) / 0.5, 0.0, 1.0);
+    zero |= x == 0 && smooth > 15;
+    EXPECT_NEAR(d.balancer.cutoff(), 100 * x * x * x, 1e-6) << "at " << before;
+    rose |= d.balancer.cutoff() > 5;
+  }
+  EXPECT_TRUE(rose);
+  EXPECT_TRUE(zero);
+}
+
+TEST(Score, LowWorthIsRefusedBeforeHighWorth) {
+  Driver d(makeSettings(), 10);
+  int low = 0, high = 0;
+  std::mt19937 engine(3);
+  for (int i = 0; i < 400; ++i) {
+    const std::uint32_t cls = engine() % 4 == 0 ? 0 : 1;
+    const RequestId id = d.request(cls);
+    if (d.out.size() > 44) d.serve(Sent(d.out[engine() % d.out.size()]));
+    if (d.balancer.cutoff() > 60) continue;  // high worth holds the top quarter of the scores
+    low += cls == 1 && d.refused(id);
+    high += cls == 0 && d.refused(id);
+  }
+  EXPECT_GT(low, 10);
+  EXPECT_EQ(high, 0);
+}
+
+TEST(Score, EqualClassesShareTheLoss) {
+  Settings s = makeSettings();
+  Driver d(s, 10);
+  std::map<std::uint32_t, int> refused;
+  std::mt19937 engine(5);
+  for (int i = 0; i < 12000; ++i) {
+    const std::uint32_t cls = 1 + engine() % 2;
+    const RequestId id = d.request(cls);
+    refused[cls] += d.refused(id);
+    if (d.out.size() > 42) d.serve(Sent(d.out[engine() % d.out.size()]));
+  }
+  EXPECT_GT(refused[1], 50);
+  EXPECT_LT(std::abs(refused[1] - refused[2]), (refused[1] + refused[2]) / 3);
+}
+
+TEST(Cutoff, ErrorsOfThePoolRaiseItAndItRecovers) {
+  Driver d(makeSettings());
+  d.warmUp(0, 60);
+  for (int i = 0; i < 60; ++i) {
+    d.request(1);
+    d.advance(milliseconds(20));
+    while (!d.out.empty()) d.settle(Sent(d.out.front()), Outcome::error, false);
+  }
+  EXPECT_GT(d.balancer.cutoff(), 1);
+  d.warmUp(0, 200);
+  EXPECT_EQ(d.balancer.cutoff(), 0);
+}
+
+TEST(RetryAfter, LengthensAsTheScoreFallsAndOnlyWhereReceived) {
+  for (bool received : {true, false}) {
+    Settings s = makeSettings();
+    s.retryAfter = received;
+    s.maxRetryAfter = milliseconds(1000);
+    Driver d(s, 10);
+    double sums[2] = {0, 0};
+    int counts[2] = {0, 0};
+    for (int i = 0; i < 2000; ++i) {
+      const std::uint32_t cls = i % 2;
+      const RequestId id = d.request(cls);
+      if (!d.refused(id)) continue;
+      ++counts[cls];
+      sums[cls] += static_cast<double>(d.retryAfter[id].count());
+      EXPECT_LE(d.retryAfter[id], s.maxRetryAfter);
+    }
+    ASSERT_GT(counts[0], 0);
+    ASSERT_GT(counts[1], 0);
+    if (received) EXPECT_GT(sums[1] / counts[1], sums[0] / counts[0]);
+    else EXPECT_EQ(sums[0] + sums[1], 0);
+  }
+}
+
+// --- Pick ---
+
+TEST(Pick, IdleHostsFirst) {
+  Driver d(makeSettings(), 6);
+  std::set<HostId> used;
+  for (int i = 0; i < 6; ++i) {
+    d.request(0);
+    used.insert(d.lastSent().host);
+  }
+  EXPECT_EQ(used.size(), 6u) << "each host gets one before any gets a second";
+}
+
+TEST(Pick, SlowHostsGetLess) {
+  Driver d(makeSettings(), 4);
+  const HostId slow = d.host(0);
+  for (int i = 0; i < 400; ++i) {
+    d.request(0);
+    d.advance(milliseconds(10));
+    for (std::size_t k = 0; k < d.out.size();) {
+      const Sent s = d.out[k];
+      if (d.now - s.at >= milliseconds(s.host == slow ? 90 : 30)) d.serve(s);
+      else ++k;
+    }
+  }
+  EXPECT_LT(d.sentTo(slow) * 3, d.sentTo(d.host(1)) * 2);
+  EXPECT_GT(d.sentTo(slow), 5u);
+}
+
+TEST(Pick, WarmKeysGoToTheSameHostsAtEveryGateway) {
+  Settings s = makeSettings();
+  s.warmKeys = true;
+  Driver a(s, 8);
+  s.seed = 99;
+  Driver b(s, 8);
+  std::set<HostId> all;
+  for (std::uint64_t key = 1; key <= 60; ++key) {
+    a.request(0, milliseconds(1000), key);
+    b.request(0, milliseconds(1000), key);
+    EXPECT_EQ(a.lastSent().host, b.lastSent().host);
+    all.insert(a.lastSent().host);
+    a.serve(a.lastSent());
+    b.serve(b.lastSent());
+  }
+  EXPECT_EQ(all.size(), 8u);
+}
+
+TEST(Pick, OwnZonePreferredAndSpills) {
+  Settings s = makeSettings();
+  Driver d(s, 0);
+  d.balancer.onHosts(d.now, ListKind::replace,
+                     {makeHost(0), makeHost(1), makeHost(2, "west"), makeHost(3, "west")});
+  for (int i = 0; i < 200; ++i) {
+    d.request(0);
+    d.serve(d.lastSent());
+  }
+  const std::size_t own = d.sentTo(d.host(0)) + d.sentTo(d.host(1));
+  EXPECT_GT(own, 115u);
+  EXPECT_LT(own, 200u);
+  d.forget();
+  for (int i = 0; i < 4; ++i) d.request(0);
+  EXPECT_GT(d.sentTo(d.host(2)) + d.sentTo(d.host(3)), 0u);
+}
+
+// --- Rule 1: one answer, in time ---
+
+TEST(Answers, NoHostOrNoTimeGetsAnImmediateAnswer) {
+  Driver none(makeSettings(), 0);
+  EXPECT_TRUE(none.refused(none.request(1)));
+  Driver d(makeSettings());
+  EXPECT_TRUE(d.refused(d.request(1, Duration{})));
+  EXPECT_TRUE(d.refused(d.request(1, milliseconds(-3))));
+  EXPECT_EQ(d.sent.size(), 0u);
+}
+
+TEST(Answers, AnOutcomeThatNeverComesDoesNotLeaveTheClientWaiting) {
+  Driver d(makeSettings());
+  const RequestId id = d.request(1);
+  d.advance(milliseconds(1000));
+  EXPECT_TRUE(d.failed(id));
+  EXPECT_EQ(d.count(ActionKind::cancel), 1u);
+}
+
+TEST(Answers, AttemptsEndBeforeTheClientsDeadline) {
+  Driver d(makeSettings());
+  d.request(0, milliseconds(300));
+  EXPECT_LE(d.lastSent().limit, milliseconds(300));
+  EXPECT_GE(d.lastSent().limit, milliseconds(200));
+}
+
+TEST(Answers, NothingAfterTheEnd) {
+  Driver d(makeSettings());
+  const RequestId id = d.request(0);
+  const Sent first = d.lastSent();
+  d.balancer.onClientGone(d.now, id);
+  d.collect();
+  EXPECT_EQ(d.count(ActionKind::cancel), 1u);
+  d.settle(first, Outcome::connectFailed, false);
+  EXPECT_EQ(d.sent.size(), 1u);
+  EXPECT_EQ(d.answers.count(id), 0u);
+  EXPECT_EQ(d.balancer.openRequests(), 0u);
+}
+
+TEST(Answers, UnknownClassIsFragileAndLowest) {
+  Driver d(makeSettings());
+  const RequestId id = d.request(57);
+  d.settle(d.lastSent(), Outcome::error, false);
+  EXPECT_TRUE(d.failed(id));
+  EXPECT_EQ(d.sent.size(), 1u);
+}
+
+TEST(Answers, StrayEventsAreIgnored) {
+  Driver d(makeSettings());
+  const RequestId id = d.request(0);
+  const Sent s = d.lastSent();
+  d.balancer.onResult(d.now, {id + 50, 0, s.host, Outcome::error, {}, false});
+  d.balancer.onResult(d.now, {id, 3, s.host, Outcome::error, {}, false});
+  d.balancer.onClientGone(d.now, 999);
+  d.balancer.onAnswerStarted(d.now, 999, 0);
+  d.request(0);
+  d.collect();
+  EXPECT_EQ(d.answers.size(), 0u);
+  d.serve(s);
+  d.balancer.onResult(d.now, {id, 0, s.host, Outcome::served, {}, true});
+  EXPECT_EQ(d.balancer.openRequests(), 1u);
+}
+
+TEST(Answers, AStartedStreamIsLeftAlone) {
+  Settings s = makeSettings();
+  Driver d(s);
+  const RequestId id = d.request(0);
+  d.balancer.onAnswerStarted(d.now, id, 0);
+  d.advance(seconds(3));
+  EXPECT_EQ(d.answers.count(id), 0u);
+  d.settle(d.lastSent(), Outcome::reset, true);
+  EXPECT_EQ(d.sent.size(), 1u);
+  EXPECT_EQ(d.balancer.openRequests(), 0u);
+}
+
+// --- Rule 2: no effect twice ---
+
+TEST(Repeats, FragileOnlyWhenProvenUnrun) {
+  for (Outcome o : {Outcome::error, Outcome::timeout, Outcome::reset, Outcome::cancelled}) {
+    Driver d(makeSettings());
+    const RequestId id = d.request(1);
+    d.settle(d.lastSent(), o, false);
+    EXPECT_EQ(d.sent.size(), 1u);
+    EXPECT_TRUE(d.failed(id)) << "a refusal would claim that a retry is harmless";
+  }
+  for (Outcome o : {Outcome::full, Outcome::connectFailed}) {
+    Driver d(makeSettings());
+    d.request(1);
+    const HostId first = d.lastSent().host;
+    d.settle(d.lastSent(), o, false);
+    ASSERT_EQ(d.sent.size(), 2u);
+    EXPECT_NE(d.lastSent().host, first);
+  }
+}
+
+TEST(Repeats, FragileRefusedWhenAllAttemptsProvenUnrun) {
+  Driver d(makeSettings());
+  const RequestId id = d.request(1);
+  for (int i = 0; i < 4; ++i) d.settle(d.lastSent(), Outcome::full, false);
+  EXPECT_EQ(d.sent.size(), 4u) << "maxAttempts";
+  EXPECT_TRUE(d.refused(id));
+}
+
+TEST(Repeats, DedupStaysInItsGroupAndWindow) {
+  for (Group g : {Group::cell, Group::zone}) {
+    Settings s = makeSettings();
+    s.classes[2].group = g;
+    for (std::uint64_t seed = 1; seed < 20; ++seed) {
+      s.seed = seed;
+      Driver d(s, 0);
+      std::vector<HostEntry> list;
+      for (int i = 0; i < 8; ++i) list.push_back(makeHost(i, i < 4 ? "east" : "west", i / 2));
+      d.balancer.onHosts(d.now, ListKind::replace, list);
+      const RequestId id = d.request(2);
+      const int first = std::stoi(d.balancer.address(d.lastSent().host).substr(5)) - 100;
+      d.settle(d.lastSent(), Outcome::reset, false);
+      ASSERT_EQ(d.sent.size(), 2u);
+      const int second = std::stoi(d.balancer.address(d.lastSent().host).substr(5)) - 100;
+      EXPECT_EQ(first / (g == Group::cell ? 2 : 4), second / (g == Group::cell ? 2 : 4));
+      while (!d.out.empty()) {
+        const int next = std::stoi(d.balancer.address(d.lastSent().host).substr(5)) - 100;
+        EXPECT_EQ(first / (g == Group::cell ? 2 : 4), next / (g == Group::cell ? 2 : 4));
+        d.settle(d.lastSent(), Outcome::timeout, false);
+      }
+      EXPECT_TRUE(d.failed(id)) << "never refused: the group is not all";
+    }
+  }
+  Settings late = makeSettings();
+  late.classes[2].window = milliseconds(100);
+  Driver d(late);
+  const RequestId id = d.request(2);
+  d.advance(milliseconds(150));
+  d.settle(d.lastSent(), Outcome::reset, false);
+  EXPECT_EQ(d.sent.size(), 1u);
+  EXPECT_TRUE(d.failed(id));
+}
+
+TEST(Repeats, DedupOfGroupAllMayBeRefused) {
+  Settings s = makeSettings();
+  s.classes[2].group = Group::all;
+  s.maxAttempts = 1;
+  Driver d(s);
+  const RequestId id = d.request(2);
+  d.settle(d.lastSent(), Outcome::error, false);
+  EXPECT_TRUE(d.refused(id));
+}
+
+// --- Rule 3: drains ---
+
+TEST(Drains, NothingNewToADrainingOrGoneHost) {
+  Driver d(makeSettings(), 3);
+  HostEntry lame = makeHost(0), gone = makeHost(1);
+  lame.phase = Phase::draining;
+  gone.phase = Phase::out;
+  d.balancer.onHosts(d.now, ListKind::update, {lame, gone});
+  d.forget();
+  for (int i = 0; i < 30; ++i) {
+    d.request(0);
+    while (!d.out.empty()) d.serve(Sent(d.out.front()));
+  }
+  EXPECT_EQ(d.sentTo(d.host(2)), 30u);
+}
+
+TEST(Drains, AWholeListDropsWhatItLeavesOut) {
+  Driver d(makeSettings(), 3);
+  d.balancer.onHosts(d.now, ListKind::replace, {makeHost(2)});
+  d.forget();
+  for (int i = 0; i < 10; ++i) {
+    d.request(0);
+    d.serve(d.lastSent());
+  }
+  EXPECT_EQ(d.sentTo(d.host(2)), 10u);
+}
+
+TEST(Discovery, AsksAtOnceAndAgainAfterFailuresWithinTheLimit) {
+  Settings s = makeSettings();
+  s.askDiscovery = true;
+  s.askWithin = seconds(3);
+  Driver d(s, 3);
+  EXPECT_EQ(d.count(ActionKind::subscribe), 1u);
+  Time asked = d.now;
+  for (int i = 0; i < 8; ++i) {
+    d.balancer.onHosts(d.now, ListKind::unavailable, {});
+    d.collect();
+    const std::size_t before = d.count(ActionKind::subscribe);
+    while (d.count(ActionKind::subscribe) == before && d.now - asked < s.askWithin)
+      d.advance(milliseconds(50));
+    EXPECT_EQ(d.count(ActionKind::subscribe), before + 1);
+    EXPECT_GT(d.now, asked) << "no storm";
+    EXPECT_LT(d.now - asked, s.askWithin);
+    asked = d.now;
+  }
+  d.request(0);
+  EXPECT_EQ(d.sent.size(), 1u) << "the last list stays in use";
+}
+
+TEST(Discovery, ALostAnswerIsAskedForAgainButNotAGivenOne) {
+  Settings s = makeSettings();
+  s.askDiscovery = true;
+  s.askWithin = seconds(3);
+  Driver d(s, 3);
+  d.advance(seconds(2), milliseconds(50));
+  EXPECT_EQ(d.count(ActionKind::subscribe), 2u);
+  d.balancer.onHosts(d.now, ListKind::update, {});
+  d.advance(seconds(10), milliseconds(50));
+  EXPECT_EQ(d.count(ActionKind::subscribe), 2u);
+}
+
+// --- Rule 4: cold hosts ---
+
+TEST(ColdStart, ABudgetInEveryWindow) {
+  Settings s = makeSettings();
+  s.groupSize = 2;
+  Driver d(s, 4);
+  d.warmUp(0, 100, milliseconds(10));
+  HostEntry cold = makeHost(9);
+  cold.upSince = d.now;
+  d.balancer.onHosts(d.now, ListKind::update, {cold});
+  d.forget();
+  std::size_t warm = 0;
+  for (int i = 0; i < 200; ++i) {  // two seconds, the cold host refuses all: refused attempts count too
+    d.request(0);
+    d.advance(milliseconds(10));
+    while (!d.out.empty()) {
+      const Sent o = d.out.front();
+      if (o.host == d.host(9)) d.settle(o, Outcome::full, false);
+      else d.serve(o);
+    }
+  }
+  warm = d.sentTo(d.host(0));
+  EXPECT_GT(d.sentTo(d.host(9)), 0u);
+  EXPECT_LT(static_cast<double>(d.sentTo(d.host(9))), 0.6 * static_cast<double>(warm));
+}
+
+TEST(ColdStart, AlsoWhenEveryHostIsCold) {
+  Settings s = makeSettings();
+  Driver d(s, 0);
+  std::vector<HostEntry> list;
+  for (int i = 0; i < 3; ++i) {
+    list.push_back(makeHost(i));
+    list.back().upSince = d.now;
+  }
+  d.balancer.onHosts(d.now, ListKind::replace, list);
+  for (int i = 0; i < 400; ++i) {
+    d.request(0);
+    d.advance(milliseconds(5));
+    while (!d.out.empty()) d.serve(Sent(d.out.front()));
+  }
+  EXPECT_GT(d.sent.size(), 0u);
+  EXPECT_LT(d.sent.size(), 60u);
+}
+
+// --- Construction ---
+
+TEST(Settings, NonsenseIsRejectedWithItsName) {
+  const auto message = [](const Settings& s) -> std::string {
+    try {
+      Balancer b(s, Time{});
+    } catch (const std::invalid_argument& e) {
+      return e.what();
+    }
+    return "";
+  };
+  EXPECT_EQ(message(makeSettings()), "");
+  Settings s = makeSettings();
+  s.classes.clear();
+  EXPECT_NE(message(s).find("class"), std::string::npos);
+  s = makeSettings();
+  s.groupSize = 0;
+  EXPECT_NE(message(s).find("groupSize"), std::string::npos);
+  s = makeSettings();
+  s.coldShare = 0;
+  EXPECT_NE(message(s).find("coldShare"), std::string::npos);
+  s = makeSettings();
+  s.classes[1].aim = Duration{};
+  EXPECT_NE(message(s).find("write"), std::string::npos);
+  s = makeSettings();
+  s.classes[1].worth = std::nan("");
+  EXPECT_NE(message(s).find("worth"), std::string::npos);
+}
+
+// --- Random legal event sequences: rules 1 to 3 on the actions, and the same actions for the same events ---
+
+struct Seen {
+  std::uint32_t cls;
+  Time deadline;
+  bool over = false;
+  std::vector<Sent> tries;
+  std::vector<int> state;  // 0 out, 1 proven unrun, 2 may have run
+};
+
+std::string play(std::uint64_t seed) {
+  Settings s = makeSettings();
+  s.seed = seed;
+  s.warmKeys = seed % 2 == 0;
+  s.classes[2].group = static_cast<Group>(seed % 3);
+  std::mt19937_64 engine(seed * 77 + 1);
+  const auto below = [&](std::uint64_t n) { return engine() % n; };
+  Balancer b(s, seconds(50));
+  Time now = seconds(50);
+  std::map<RequestId, Seen> seen;
+  std::map<HostId, Phase> phase;
+  std::map<HostId, HostEntry> entries;
+  std::string trace;
+  RequestId last = 0;
+  std::vector<HostEntry> list;
+  for (int i = 0; i < 6; ++i) list.push_back(makeHost(i, i % 3 ? "east" : "west", i % 3));
+  b.onHosts(now, ListKind::restored, list);
+  for (const HostEntry& e : list) entries[b.findHost(e.address)] = e;
+
+  const auto check = [&] {
+    for (const Action& a : b.actions()) {
+      trace += std::to_string(static_cast<int>(a.kind)) + ":" + std::to_string(a.request) + ":" +
+               std::to_string(a.host) + ":" + std::to_string(a.span.count()) + " ";
+      if (a.kind == ActionKind::wake || a.kind == ActionKind::log || a.kind == ActionKind::subscribe)
+        continue;
+      EXPECT_TRUE(seen.count(a.request));
+      Seen& r = seen[a.request];
+      const ClassSettings& c = s.classes[r.cls];
+      bool ran = false, outNow = false;
+      for (std::size_t i = 0; i < r.tries.size(); ++i) {
+        ran |= r.state[i] != 1;
+        outNow |= r.state[i] == 0;
+      }
+      if (a.kind == ActionKind::send) {
+        EXPECT_FALSE(r.over);
+        EXPECT_LT(now, r.deadline);
+        EXPECT_LE(now + a.span, r.deadline);
+        EXPECT_EQ(entries.at(a.host).phase, Phase::in);
+        EXPECT_EQ(a.attempt, r.tries.size());
+        EXPECT_LT(a.attempt, s.maxAttempts);
+        EXPECT_FALSE(outNow);
+        if (c.effect == Effect::fragile) EXPECT_FALSE(ran);
+        if (c.effect == Effect::dedup)
+          for (std::size_t i = 0; i < r.tries.size(); ++i) {
+            if (r.state[i] == 1) continue;
+            const HostEntry &was = entries.at(r.tries[i].host), &is = entries.at(a.host);
+            if (c.group != Group::all) EXPECT_EQ(was.zone, is.zone);
+            if (c.group == Group::cell) EXPECT_EQ(was.cell, is.cell);
+            EXPECT_LE(now, r.tries[i].at + c.window);
+          }
+        r.tries.push_back({a.request, a.attempt, a.host, now, a.span});
+        r.state.push_back(0);
+      } else if (a.kind == ActionKind::refuse || a.kind == ActionKind::fail) {
+        EXPECT_FALSE(r.over);
+        EXPECT_LE(now, r.deadline);
+        r.over = true;
+        if (a.kind == ActionKind::refuse && ran) {
+          EXPECT_NE(c.effect, Effect::fragile);
+          if (c.effect == Effect::dedup) EXPECT_EQ(c.group, Group::all);
+        }
+      }
+    }
+    b.actions().clear();
+  };
+  check();
+  for (int i = 0; i < 4000; ++i) {
+    now += milliseconds(5) * static_cast<int>(below(2));
+    const std::uint64_t what = below(10);
+    if (what < 4) {
+      Request q;
+      q.id = ++last;
+      q.classIndex = static_cast<std::uint32_t>(below(3));
+      q.left = milliseconds(static_cast<int>(below(1000)) + 1);
+      q.hasKey = true;
+      q.key = below(20);
+      seen[q.id] = {q.classIndex, now + q.left, false, {}, {}};
+      b.onRequest(now, q);
+    } else if (what < 8 && !seen.empty()) {
+      std::vector<std::pair<RequestId, std::size_t>> open;
+      for (auto& [id, r] : seen)
+        for (std::size_t k = 0; k < r.tries.size(); ++k)
+          if (r.state[k] == 0) open.emplace_back(id, k);
+      if (!open.empty()) {
+        const auto [id, k] = open[below(open.size())];
+        Seen& r = seen[id];
+        const auto o = static_cast<Outcome>(below(8));
+        r.state[k] = o == Outcome::full || o == Outcome::connectFailed || o == Outcome::moot ? 1 : 2;
+        const bool terminal = r.over || o == Outcome::served;
+        if (terminal) r.over = true;
+        b.onResult(now,
+                   {id, static_cast<std::uint32_t>(k), r.tries[k].host, o, now - r.tries[k].at, terminal});
+      }
+    } else if (what == 8 && below(10) == 0) {
+      HostEntry e = makeHost(static_cast<int>(below(6)));
+      e = entries.at(b.findHost(e.address));
+      e.phase = static_cast<Phase>(below(3));
+      if (below(3) == 0) e.upSince = now;
+      entries[b.findHost(e.address)] = e;
+      b.onHosts(now, ListKind::update, {e});
+    } else if (below(20) == 0 && last > 0) {
+      const RequestId id = 1 + below(last);
+      if (!seen[id].over) {
+        seen[id].over = true;
+        b.onClientGone(now, id);
+      }
+    } else {
+      b.onWake(now);
+    }
+    check();
+    for (auto it = seen.begin(); it != seen.end();) {
+      if (!it->second.over)
+        EXPECT_LT(now, it->second.deadline + milliseconds(20)) << "left without an answer";
+      bool outNow = false;
+      for (int st : it->second.state) outNow |= st == 0;
+      if (it->second.over && !outNow) it = seen.erase(it);
+      else ++it;
+    }
+    if (what != 9) {
+      b.onWake(now);
+      check();
+    }
+    if (::testing::Test::HasFailure()) break;
+  }
+  return trace;
+}
+
+TEST(Random, RulesHoldOnFixedSeedSequences) {
+  for (std::uint64_t seed = 1; seed <= 24 && !HasFailure(); ++seed) {
+    SCOPED_TRACE(seed);
+    const std::string trace = play(seed);
+    EXPECT_GT(trace.size(), 1000u);
+    if (seed <= 6) EXPECT_EQ(trace, play(seed)) << "the same events give the same actions";
+  }
+}
+
+}  // namespace
+}  // namespace ridgeshift::testing
