--- /dev/null
+++ b/src/net/clock.hpp
@@ -0,0 +1,36 @@
+// The gateway's clock: steady, and tied to Unix time once, at the start.
+#pragma once
+
+#include <chrono>
+
+#include "ridgeshift/ridgeshift.hpp"
+
+namespace finchstile {
+
+using ridgeshift::Duration;
+using ridgeshift::Time;
+
+class Clock {
+ public:
+  Time now() const { return kOrigin + (std::chrono::steady_clock::now() - started_); }
+
+  std::chrono::steady_clock::time_point steady(Time t) const { return started_ + (t - kOrigin); }
+
+  // Danger: tied anew at each list, the same start would come out some microseconds apart, and the module
+  // would take every host for restarted. 0 stands for long ago, and so does what lies before this clock's
+  // zero.
+  Time fromUnix(std::chrono::milliseconds since) const {
+    if (since.count() <= 0) return Time{};
+    const auto ago = unixStarted_ - since;
+    return ago < kOrigin ? kOrigin - ago : Time{};
+  }
+
+ private:
+  static constexpr Time kOrigin = std::chrono::hours(24);  // so that starts before our own lie above zero
+
+  std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
+  std::chrono::milliseconds unixStarted_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+};
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,133 @@
+#include "net/config.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "settings.hpp"
+
+namespace finchstile {
+namespace {
+
+using nlohmann::json;
+using ridgeshift::HostEntry;
+using ridgeshift::Phase;
+
+[[noreturn]] void fail(const std::string& what) { throw std::runtime_error(what); }
+
+// Walks the settings as the simulator's first message would list them: path by path, list items by number.
+template <class F>
+void eachLeaf(const json& value, const std::string& path, const F& f) {
+  if (value.is_structured()) {
+    std::size_t index = 0;
+    for (const auto& [key, item] : value.items()) {
+      const std::string part = value.is_array() ? std::to_string(index++) : key;
+      eachLeaf(item, path.empty() ? part : path + "." + part, f);
+    }
+  } else if (value.is_string()) {
+    f(path, value.get_ref<const std::string&>());
+  } else if (!value.is_null()) {
+    f(path, value.dump());
+  }
+}
+
+Phase readPhase(const std::string& status) {
+  if (status == "active") return Phase::in;
+  if (status == "leaving") return Phase::draining;
+  if (status == "left") return Phase::out;
+  fail("unknown status '" + status + "' of a host");
+}
+
+std::uint64_t readSeed(const std::string& text) {
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (text.empty() || error != std::errc{} || end != text.data() + text.size())
+    fail("seed '" + text + "' is not hexadecimal");
+  return seed;
+}
+
+Duration positive(const json& settings, const char* name) {
+  const auto ns = settings.at("ceilings").at(name).get<std::int64_t>();
+  if (ns <= 0) fail(std::string("settings.ceilings.") + name + " must be above 0");
+  return Duration(ns);
+}
+
+}  // namespace
+
+tcp::endpoint readEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) fail("'" + std::string(text) + "' is no address and port");
+  std::uint16_t port = 0;
+  const std::string_view digits = text.substr(colon + 1);
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  boost::system::error_code bad;
+  const auto address = boost::asio::ip::make_address(std::string(text.substr(0, colon)), bad);
+  if (bad || digits.empty() || error != std::errc{} || end != digits.data() + digits.size())
+    fail("'" + std::string(text) + "' is no address and port");
+  return {address, port};
+}
+
+HostList readHostList(const json& list, const Clock& clock) try {
+  HostList out;
+  out.index = list.at("index").get<std::int64_t>();
+  out.whole = list.at("snapshot").get<bool>();
+  for (const json& item : list.at("endpoints")) {
+    ListedHost h;
+    HostEntry& e = h.entry;
+    e.address = item.at("name").get<std::string>();
+    e.phase = readPhase(item.at("status").get<std::string>());
+    e.zone = item.value("zone", "");
+    e.kind = item.value("type", "");
+    e.cell = item.value("group", std::int64_t{0});
+    e.upSince = clock.fromUnix(std::chrono::milliseconds(item.value("since_ms", std::int64_t{0})));
+    h.endpoint = readEndpoint(item.at("address").get<std::string>());
+    if (e.address.empty()) fail("a host has no name");
+    out.hosts.push_back(std::move(h));
+  }
+  return out;
+} catch (const json::exception& bad) {
+  fail(std::string("bad host list: ") + bad.what());
+}
+
+HostList parseHostList(std::string_view text, const Clock& clock) {
+  const json list = json::parse(text, nullptr, false);
+  if (list.is_discarded()) fail("bad host list: not JSON");
+  return readHostList(list, clock);
+}
+
+Config readConfig(std::string_view text, const Clock& clock) try {
+  const json all = json::parse(text);
+  const json& settings = all.at("settings");
+  Config c;
+  c.name = all.value("name", "gateway");
+  c.listen = readEndpoint(all.at("listen").get<std::string>());
+  c.discovery = readEndpoint(all.at("discovery").get<std::string>());
+  if (const auto limits = all.find("limits"); limits != all.end())
+    c.sockets = limits->value("sockets", c.sockets);
+  eachLeaf(settings, "", [&](const std::string& path, const std::string& value) {
+    ridgeshift::applySetting(c.settings, path, value);
+  });
+  ridgeshift::completeSettings(c.settings);
+  c.settings.seed = readSeed(all.at("seed").get<std::string>());
+  ridgeshift::validate(c.settings);
+  c.connectTimeout = positive(settings, "connectTimeoutNs");
+  c.idleClose = positive(settings, "idleCloseNs");
+  if (const auto known = all.find("known"); known != all.end() && !known->is_null())
+    c.known = readHostList(*known, clock);
+  return c;
+} catch (const json::exception& bad) {
+  fail(std::string("bad configuration: ") + bad.what());
+} catch (const std::invalid_argument& bad) {
+  fail(std::string("bad configuration: ") + bad.what());
+}
+
+Config loadConfig(const std::string& path, const Clock& clock) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) fail("cannot read the configuration '" + path + "'");
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  return readConfig(text, clock);
+}
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,109 @@
+#include "net/discovery.hpp"
+
+#include <exception>
+#include <string>
+#include <utility>
+
+namespace finchstile {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t kListMost = 4 * 1024 * 1024;
+
+}  // namespace
+
+// The connection of a watch, with the call that is out on it.
+struct Discovery::Call {
+  explicit Call(boost::asio::io_context& io) : socket(io) {}
+  tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  http::request<http::empty_body> request;
+  std::optional<http::response_parser<http::string_body>> parser;
+  bool connected = false;
+};
+
+Discovery::Discovery(boost::asio::io_context& io, const Clock& clock, const tcp::endpoint& at, Limits limits,
+                     std::int64_t index, DiscoveryEvents& events)
+    : io_(io), clock_(clock), at_(at), limits_(limits), index_(index), events_(events), timer_(io) {}
+Discovery::~Discovery() = default;
+
+void Discovery::watch() {
+  if (call_) return;
+  call_ = std::make_shared<Call>(io_);
+  ask();
+}
+
+void Discovery::stop() {
+  timer_.cancel();
+  if (const auto call = std::exchange(call_, nullptr)) {
+    error_code ignored;
+    call->socket.close(ignored);
+  }
+}
+
+void Discovery::ask() {
+  const auto call = call_;
+  std::string target = "/registry/instances";
+  Duration most = limits_.silence;
+  if (index_ >= 0) {
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(limits_.wait).count();
+    target += "?since=" + std::to_string(index_) + "&timeout_ms=" + std::to_string(wait);
+    most += limits_.wait;
+  }
+  // Danger: a discovery that was cut off says nothing, ever.
+  timer_.expires_after(most);
+  timer_.async_wait([this, call](error_code stopped) {
+    if (!stopped && call == call_) lost();
+  });
+  call->request = {http::verb::get, target, 11};
+  call->request.set(http::field::host, at_.address().to_string() + ":" + std::to_string(at_.port()));
+  call->parser.emplace();
+  call->parser->body_limit(kListMost);
+  auto write = [this, call] {
+    http::async_write(call->socket, call->request, [this, call](error_code error, std::size_t) {
+      if (call != call_) return;
+      if (error) return lost();
+      http::async_read(call->socket, call->buffer, *call->parser, [this, call](error_code bad, std::size_t) {
+        if (call != call_) return;
+        if (bad) return lost();
+        answered(call);
+      });
+    });
+  };
+  if (call->connected) return write();
+  call->socket.async_connect(at_, [this, call, write](error_code error) {
+    if (call != call_) return;
+    if (error) return lost();
+    call->connected = true;
+    write();
+  });
+}
+
+void Discovery::answered(const std::shared_ptr<Call>& call) {
+  if (call->parser->get().result() != http::status::ok) return lost();
+  HostList list;
+  try {
+    list = parseHostList(call->parser->get().body(), clock_);
+  } catch (const std::exception&) {
+    return lost();
+  }
+  index_ = list.index;
+  if (!call->parser->keep_alive()) {
+    error_code ignored;
+    call->socket.close(ignored);
+    call->connected = false;
+    call->buffer.clear();
+  }
+  // The next call goes out first: a watch lasts only as long as calls follow one another closely.
+  ask();
+  events_.onHostList(std::move(list));
+}
+
+void Discovery::lost() {
+  stop();
+  events_.onDiscoveryLost();
+}
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/net/discovery.hpp
@@ -0,0 +1,54 @@
+// The watch on the list of hosts.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+
+#include "net/clock.hpp"
+#include "net/config.hpp"
+
+namespace finchstile {
+
+class DiscoveryEvents {
+ public:
+  virtual ~DiscoveryEvents() = default;
+  virtual void onHostList(HostList&& list) = 0;
+  virtual void onDiscoveryLost() = 0;  // the watch has ended; `watch` starts a new one
+};
+
+class Discovery {
+ public:
+  struct Limits {
+    Duration wait{};     // how long discovery may hold a call that has no news
+    Duration silence{};  // after that wait: how much longer an answer may take
+  };
+
+  Discovery(boost::asio::io_context& io, const Clock& clock, const tcp::endpoint& at, Limits limits,
+            std::int64_t index, DiscoveryEvents& events);
+  ~Discovery();
+
+  void watch();  // does nothing while a watch is on
+  void stop();
+
+ private:
+  struct Call;
+  void ask();
+  void answered(const std::shared_ptr<Call>& call);
+  void lost();
+
+  boost::asio::io_context& io_;
+  const Clock& clock_;
+  tcp::endpoint at_;
+  Limits limits_;
+  std::int64_t index_;
+  DiscoveryEvents& events_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<Call> call_;  // null: no watch is on
+};
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/net/gateway.cpp
@@ -0,0 +1,396 @@
+#include "net/gateway.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <string_view>
+
+namespace finchstile {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using ridgeshift::ActionKind;
+using ridgeshift::HostId;
+using ridgeshift::kNone;
+using ridgeshift::ListKind;
+using ridgeshift::Outcome;
+using ridgeshift::Phase;
+using ridgeshift::RequestId;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kHousekeep = seconds(1);
+constexpr Duration kHousekeepDrain = milliseconds(20);
+constexpr Duration kAcceptAfterStop = milliseconds(600);  // fronts go on sending for a while
+constexpr Duration kExitAfterLongest = milliseconds(600);
+constexpr Duration kWatchMost = seconds(20);
+constexpr Duration kSilence = milliseconds(1500);
+constexpr double kIdleShare = 0.5;    // of the host's idle limit: a close must never cross a request
+constexpr double kClientShare = 0.6;  // of the descriptors
+constexpr double kUpstreamShare = 0.3;
+constexpr double kLagFade = 0.98;  // per timer: the worst lateness is remembered for some seconds
+
+template <class Number>
+bool parse(std::string_view text, Number& out, int base = 10) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
+  return !text.empty() && error == std::errc{} && end == text.data() + text.size();
+}
+
+std::string_view view(boost::beast::string_view s) { return {s.data(), s.size()}; }
+
+std::string_view classOfTarget(std::string_view target) {
+  if (!target.empty() && target.front() == '/') target.remove_prefix(1);
+  return target.substr(0, target.find_first_of("/?"));
+}
+
+std::string_view cookie(std::string_view all, std::string_view name) {
+  while (!all.empty()) {
+    const std::size_t end = std::min(all.find(';'), all.size());
+    std::string_view part = all.substr(0, end);
+    all.remove_prefix(std::min(end + 1, all.size()));
+    part.remove_prefix(std::min(part.find_first_not_of(' '), part.size()));
+    if (part.substr(0, name.size()) == name && part.substr(name.size(), 1) == "=")
+      return part.substr(name.size() + 1);
+  }
+  return {};
+}
+
+std::uint64_t keyOf(std::string_view text) {  // the same at every gateway
+  std::uint64_t key = 0;
+  if (text.size() <= 16 && parse(text, key, 16)) return key;
+  key = 0xcbf29ce484222325ULL;
+  for (const unsigned char c : text) key = (key ^ c) * 0x100000001b3ULL;
+  return key;
+}
+
+std::size_t share(std::size_t sockets, double part) {
+  return std::max<std::size_t>(8, static_cast<std::size_t>(static_cast<double>(sockets) * part));
+}
+
+Duration part(Duration d, double by) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(d.count()) * by));
+}
+
+Duration watchWait(const ridgeshift::Settings& s) {
+  // Danger: the module takes a first watch that is silent for half this time for lost.
+  return s.askWithin > Duration{} ? std::min(s.askWithin / 4, kWatchMost) : kWatchMost;
+}
+
+Answer plain(http::status status) {
+  Answer a;
+  a.status = status;
+  return a;
+}
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& io, const Clock& clock, Config config)
+    : io_(io),
+      clock_(clock),
+      config_(std::move(config)),
+      balancer_(config_.settings, clock.now()),
+      listener_(io, clock, config_.listen, share(config_.sockets, kClientShare), *this),
+      pool_(io, clock, {config_.connectTimeout, part(config_.idleClose, kIdleShare), 4}, *this),
+      discovery_(io, clock, config_.discovery, {watchWait(config_.settings), kSilence}, config_.known.index,
+                 *this),
+      timer_(io) {
+  for (std::size_t i = 0; i < config_.settings.classes.size(); ++i)
+    classOf_.emplace(config_.settings.classes[i].name, static_cast<std::uint32_t>(i));
+  for (std::size_t i = 0; i < config_.settings.tenants.size(); ++i)
+    tenantOf_.emplace(config_.settings.tenants[i].name, static_cast<std::uint32_t>(i));
+}
+
+void Gateway::start() {
+  housekeepAt_ = clock_.now() + kHousekeep;
+  learnHosts(config_.known, ListKind::restored);
+  if (!config_.settings.askDiscovery) discovery_.watch();
+  listener_.start();
+}
+
+void Gateway::drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  done_ = std::move(done);
+  listener_.beginDrain();
+  Duration longest{};
+  for (const auto& c : config_.settings.classes) longest = std::max(longest, c.giveUp);
+  housekeepAt_ = clock_.now();
+  closeListenerAt_ = clock_.now() + kAcceptAfterStop;
+  exitAt_ = clock_.now() + longest + kExitAfterLongest;
+  armTimer();
+}
+
+// --- Clients
+// ------------------------------------------------------------------------------------------------
+
+bool Gateway::answerOwnPaths(ClientSession& session, const ClientRequest& message) {
+  const std::string_view target = view(message.target());
+  if (target == "/health/live") {
+    session.answer(plain(http::status::ok));
+  } else if (target == "/health/ready") {
+    const bool ready = !draining_ && !hosts_.empty();
+    session.answer(plain(ready ? http::status::ok : http::status::service_unavailable));
+  } else {
+    return false;
+  }
+  return true;
+}
+
+// False if the request does not say how long its client waits.
+bool Gateway::describe(const ClientRequest& message, ridgeshift::Request& q) const {
+  std::int64_t left = 0;
+  if (!parse(view(message["X-Time-Left-Ms"]), left) || left <= 0) return false;
+  constexpr std::int64_t kMost = 24 * 3600 * 1000;  // keeps sums of times far from an overflow
+  q.left = milliseconds(std::min(left, kMost));
+  // Danger: the request may have lain in a socket while the loop was busy; its client counts that time.
+  q.left -= std::min(lag_, q.left / 4);
+  const auto cls = classOf_.find(std::string(classOfTarget(view(message.target()))));
+  if (cls != classOf_.end()) q.classIndex = cls->second;
+  const auto tenant = tenantOf_.find(std::string(view(message["X-Account"])));
+  if (tenant != tenantOf_.end()) q.tenantIndex = tenant->second;
+  std::int64_t micros = 0;
+  if (parse(view(message["X-Weight-Hint"]), micros) && micros > 0)
+    q.cost = std::chrono::microseconds(std::min(micros, kMost * 1000));
+  const std::string_view sid = cookie(view(message[http::field::cookie]), "sid");
+  q.hasKey = !sid.empty();
+  if (q.hasKey) q.key = keyOf(sid);
+  return true;
+}
+
+void Gateway::onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& message) {
+  if (answerOwnPaths(*session, message)) return;
+  ridgeshift::Request q;
+  if (!describe(message, q)) return session->answer(plain(http::status::bad_request));
+  q.id = ++lastRequest_;
+  RequestRecord& r = requests_[q.id];
+  r.client = session;
+  r.message = std::make_shared<const ClientRequest>(std::move(message));
+  session->setRequest(q.id);
+  balancer_.onRequest(clock_.now(), q);
+  carryOut();
+}
+
+void Gateway::onClientLeft(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.ended) return;
+  it->second.ended = true;
+  balancer_.onClientGone(clock_.now(), id);
+  releaseIfOver(id);
+  carryOut();
+}
+
+void Gateway::answer(RequestId id, Answer&& a) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.ended) return;
+  it->second.ended = true;
+  if (const auto client = it->second.client.lock()) client->answer(std::move(a));
+  releaseIfOver(id);
+}
+
+void Gateway::releaseIfOver(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it != requests_.end() && it->second.ended && it->second.out == 0) requests_.erase(it);
+}
+
+// --- Attempts
+// -----------------------------------------------------------------------------------------------
+
+void Gateway::send(const ridgeshift::Action& action) {
+  const auto it = requests_.find(action.request);
+  const auto host = hosts_.find(action.host);
+  if (it == requests_.end()) return;
+  RequestRecord& r = it->second;
+  const AttemptId id = ++lastAttempt_;
+  const Time now = clock_.now();
+  r.attempts.resize(std::max<std::size_t>(r.attempts.size(), action.attempt + 1));
+  r.attempts[action.attempt] = id;
+  ++r.out;
+  attempts_[id] = {action.request, action.attempt, action.host, now, now + action.span};
+  limits_.emplace(now + action.span, id);
+  if (host == hosts_.end()) return;  // cannot be: the module knows only hosts that we named; times out
+  pool_.send(id, action.host, host->second.endpoint);
+}
+
+// The last look before the first byte: a wait for a connection may have outlived the request, its time, or
+// the host's place in the list.
+std::optional<UpstreamRequest> Gateway::compose(AttemptId id) {
+  const auto a = attempts_.find(id);
+  if (a == attempts_.end()) return std::nullopt;
+  const auto r = requests_.find(a->second.request);
+  const auto h = hosts_.find(a->second.host);
+  if (r == requests_.end() || r->second.ended || h == hosts_.end() || h->second.phase != Phase::in)
+    return std::nullopt;
+  const auto left = std::chrono::duration_cast<milliseconds>(a->second.limit - clock_.now()).count();
+  if (left <= 0) return std::nullopt;
+  const ClientRequest& from = *r->second.message;
+  UpstreamRequest to{from.method(), from.target(), 11};
+  if (from.method() == http::verb::unknown) to.method_string(from.method_string());
+  to.set(http::field::host,
+         h->second.endpoint.address().to_string() + ":" + std::to_string(h->second.endpoint.port()));
+  for (const char* name : {"X-Correlation-Id", "Idempotency-Key", "Content-Type"})
+    if (const auto value = from[name]; !value.empty()) to.set(name, value);
+  to.set("X-Time-Left-Ms", std::to_string(left));
+  to.body() = from.body();
+  if (!from.body().empty() || from.method() != http::verb::get) to.content_length(from.body().size());
+  return to;
+}
+
+void Gateway::cancel(RequestId request, std::uint32_t number) {
+  const auto it = requests_.find(request);
+  if (it == requests_.end() || number >= it->second.attempts.size()) return;
+  givenUp_.push_back(it->second.attempts[number]);
+}
+
+void Gateway::onOutcome(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
+  settle(id, outcome, std::move(upstream));
+  carryOut();
+}
+
+// Tells the module how an attempt ended; what was served goes to the client first.
+void Gateway::settle(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
+  const auto it = attempts_.find(id);
+  if (it == attempts_.end()) return;
+  const AttemptRecord a = it->second;
+  attempts_.erase(it);
+  limits_.erase({a.limit, id});
+  const auto r = requests_.find(a.request);
+  if (r == requests_.end()) return;
+  --r->second.out;
+  const Time now = clock_.now();
+  ridgeshift::AttemptResult result;
+  result.request = a.request;
+  result.attempt = a.number;
+  result.host = a.host;
+  result.outcome = outcome;
+  result.taken = now - a.sent;
+  result.terminal = r->second.ended || outcome == Outcome::served;
+  if (outcome == Outcome::served) {
+    Answer answered;
+    answered.body = std::move(upstream.body);
+    answered.contentType = std::move(upstream.contentType);
+    answer(a.request, std::move(answered));
+  }
+  releaseIfOver(a.request);
+  balancer_.onResult(now, result);
+}
+
+// --- Discovery
+// ----------------------------------------------------------------------------------------------
+
+void Gateway::learnHosts(const HostList& list, ListKind kind) {
+  std::vector<ridgeshift::HostEntry> entries;
+  for (const ListedHost& h : list.hosts) entries.push_back(h.entry);
+  balancer_.onHosts(clock_.now(), kind, entries);
+  std::vector<HostId> named;
+  for (const ListedHost& h : list.hosts) {
+    const HostId id = balancer_.findHost(h.entry.address);
+    if (id == kNone) continue;
+    HostRecord& record = hosts_[id];
+    // Danger: connections to an old address would be taken for ones to the new.
+    if (record.endpoint != h.endpoint) pool_.setOpen(id, false);
+    record = {h.endpoint, h.entry.phase};
+    named.push_back(id);
+  }
+  std::sort(named.begin(), named.end());
+  for (auto& [id, record] : hosts_) {
+    if (kind != ListKind::update && !std::binary_search(named.begin(), named.end(), id))
+      record.phase = Phase::out;  // what a whole list leaves out is gone
+    pool_.setOpen(id, record.phase == Phase::in);
+  }
+  carryOut();
+}
+
+void Gateway::onHostList(HostList&& list) {
+  learnHosts(list, list.whole ? ListKind::replace : ListKind::update);
+}
+
+void Gateway::onDiscoveryLost() {
+  balancer_.onHosts(clock_.now(), ListKind::unavailable, {});
+  carryOut();
+}
+
+// --- The module's actions, and the timer
+// --------------------------------------------------------------------
+
+// Danger: carrying out an action may bring results at once, and these new actions. They are told one after
+// the other, never from within another.
+void Gateway::carryOut() {
+  if (carrying_) return;
+  carrying_ = true;
+  while (!balancer_.actions().empty() || !givenUp_.empty()) {
+    const std::vector<ridgeshift::Action> actions = std::exchange(balancer_.actions(), {});
+    // An attempt given up is closed before anything else goes out for its request, the answer included.
+    for (const auto& action : actions)
+      if (action.kind == ActionKind::cancel) cancel(action.request, action.attempt);
+    const std::vector<AttemptId> givenUp = std::exchange(givenUp_, {});
+    std::vector<std::pair<AttemptId, bool>> closed;
+    for (const AttemptId id : givenUp)
+      if (attempts_.count(id) > 0) closed.emplace_back(id, pool_.giveUp(id));
+    for (const auto& action : actions) carryOut(action);
+    for (const auto& [id, began] : closed) settle(id, began ? Outcome::cancelled : Outcome::moot, {});
+  }
+  carrying_ = false;
+  armTimer();
+}
+
+void Gateway::carryOut(const ridgeshift::Action& action) {
+  switch (action.kind) {
+    case ActionKind::send: return send(action);
+    case ActionKind::refuse: {
+      Answer a = plain(http::status::service_unavailable);
+      a.retryAfter = action.span;
+      return answer(action.request, std::move(a));
+    }
+    case ActionKind::fail: return answer(action.request, plain(http::status::bad_gateway));
+    case ActionKind::wake: wake_ = wake_ == Time{} ? action.span : std::min(wake_, action.span); return;
+    case ActionKind::subscribe: return discovery_.watch();
+    case ActionKind::log: std::fprintf(stderr, "%s\n", action.text.c_str()); return;
+    case ActionKind::cancel:
+    case ActionKind::probe:  // these two: not offered by this gateway, so never asked for
+    case ActionKind::tell: return;
+  }
+}
+
+void Gateway::armTimer() {
+  Time want = housekeepAt_;
+  if (wake_ != Time{}) want = std::min(want, wake_);
+  if (!limits_.empty()) want = std::min(want, limits_.begin()->first);
+  if (want == armed_) return;
+  armed_ = want;
+  timer_.expires_at(clock_.steady(want));
+  timer_.async_wait([this](error_code stopped) {
+    if (!stopped) onTimer();
+  });
+}
+
+void Gateway::onTimer() {
+  const Time now = clock_.now();
+  lag_ = std::max(now - armed_, part(lag_, kLagFade));
+  armed_ = Time{};
+  while (!limits_.empty() && limits_.begin()->first <= now) {
+    const AttemptId id = limits_.begin()->second;
+    const bool began = pool_.giveUp(id);
+    settle(id, began ? Outcome::timeout : Outcome::connectFailed, {});
+  }
+  if (wake_ != Time{} && wake_ <= now) {
+    wake_ = Time{};
+    balancer_.onWake(clock_.now());
+  }
+  if (now >= housekeepAt_) housekeep(now);
+  carryOut();
+}
+
+void Gateway::housekeep(Time now) {
+  housekeepAt_ = now + (draining_ ? kHousekeepDrain : kHousekeep);
+  listener_.sweep();
+  pool_.sweep();
+  while (pool_.connections() > share(config_.sockets, kUpstreamShare) && pool_.shedIdle()) {
+  }
+  if (!config_.settings.askDiscovery && !draining_) discovery_.watch();
+  if (!draining_ || now < closeListenerAt_) return;
+  listener_.close();
+  if ((listener_.size() == 0 || now >= exitAt_) && done_) std::exchange(done_, nullptr)();
+}
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/net/gateway.hpp
@@ -0,0 +1,102 @@
+// The gateway: turns what happens on sockets into calls of the Balancer, and its actions into I/O. It decides
+// nothing. It owns the Balancer, the clock, the one timer, and the records of requests and attempts.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "net/client.hpp"
+#include "net/clock.hpp"
+#include "net/config.hpp"
+#include "net/discovery.hpp"
+#include "net/upstream.hpp"
+#include "ridgeshift/ridgeshift.hpp"
+
+namespace finchstile {
+
+class Gateway : ClientEvents, UpstreamEvents, DiscoveryEvents {
+ public:
+  Gateway(boost::asio::io_context& io, const Clock& clock, Config config);
+
+  void start();
+  // Ready no more; answers what was and still is taken; `done` is called once when nothing is left.
+  void drain(std::function<void()> done);
+
+  tcp::endpoint endpoint() const { return listener_.endpoint(); }
+  std::size_t openRequests() const { return requests_.size(); }
+  std::size_t upstreamConnections() const { return pool_.connections(); }
+  std::size_t upstreamOpened() const { return pool_.opened(); }
+  std::size_t clientConnections() const { return listener_.size(); }
+
+ private:
+  struct RequestRecord {
+    std::weak_ptr<ClientSession> client;
+    std::shared_ptr<const ClientRequest> message;
+    bool ended = false;  // answered, or the client has gone
+    std::vector<AttemptId> attempts;
+    std::size_t out = 0;
+  };
+  struct AttemptRecord {
+    ridgeshift::RequestId request = 0;
+    std::uint32_t number = 0;
+    ridgeshift::HostId host = ridgeshift::kNone;
+    Time sent{}, limit{};
+  };
+  struct HostRecord {
+    tcp::endpoint endpoint;
+    ridgeshift::Phase phase = ridgeshift::Phase::out;
+  };
+
+  void onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& request) override;
+  void onClientLeft(ridgeshift::RequestId request) override;
+  std::optional<UpstreamRequest> compose(AttemptId attempt) override;
+  void onOutcome(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer) override;
+  void onHostList(HostList&& list) override;
+  void onDiscoveryLost() override;
+
+  bool describe(const ClientRequest& message, ridgeshift::Request& out) const;
+  bool answerOwnPaths(ClientSession& session, const ClientRequest& message);
+  void learnHosts(const HostList& list, ridgeshift::ListKind kind);
+  void carryOut();
+  void carryOut(const ridgeshift::Action& action);
+  void send(const ridgeshift::Action& action);
+  void cancel(ridgeshift::RequestId request, std::uint32_t number);
+  void answer(ridgeshift::RequestId request, Answer&& answer);
+  void settle(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer);
+  void releaseIfOver(ridgeshift::RequestId request);
+  void armTimer();
+  void onTimer();
+  void housekeep(Time now);
+
+  boost::asio::io_context& io_;
+  const Clock& clock_;
+  Config config_;
+  ridgeshift::Balancer balancer_;
+  Listener listener_;
+  UpstreamPool pool_;
+  Discovery discovery_;
+  boost::asio::steady_timer timer_;
+  Time armed_{}, wake_{}, housekeepAt_{}, closeListenerAt_{}, exitAt_{};
+  Duration lag_{};  // how late the loop has lately been
+
+  std::unordered_map<std::string, std::uint32_t> classOf_, tenantOf_;
+  std::unordered_map<ridgeshift::HostId, HostRecord> hosts_;
+  std::unordered_map<ridgeshift::RequestId, RequestRecord> requests_;
+  std::unordered_map<AttemptId, AttemptRecord> attempts_;
+  std::set<std::pair<Time, AttemptId>> limits_;  // when attempts are given up
+  std::vector<AttemptId> givenUp_;               // called off by the module, result still to be told
+  ridgeshift::RequestId lastRequest_ = 0;
+  AttemptId lastAttempt_ = 0;
+  bool carrying_ = false, draining_ = false;
+  std::function<void()> done_;
+};
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/net/upstream.cpp
@@ -0,0 +1,289 @@
+#include "net/upstream.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cerrno>
+#include <utility>
+
+namespace finchstile {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using ridgeshift::HostId;
+using ridgeshift::Outcome;
+
+constexpr std::size_t kBodyMost = 64 * 1024;
+constexpr std::size_t kHeaderMost = 16 * 1024;
+
+Outcome outcomeOf(const http::response<http::string_body>& response) {
+  switch (response.result_int()) {
+    case 200: return Outcome::served;
+    case 503:
+    case 504:  // Danger: only the mark proves that it never ran.
+      return response["X-Unprocessed"] == "1" ? Outcome::full : Outcome::error;
+    default: return Outcome::error;
+  }
+}
+
+}  // namespace
+
+// One connection: it carries one attempt at a time, and is closed rather than reused after anything but a
+// whole answer.
+class UpstreamPool::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(UpstreamPool& pool, HostId of)
+      : host(of), pool_(pool), socket_(pool.io_), timer_(pool.io_), buffer_(kHeaderMost + 2 * kBodyMost) {
+    ++pool_.connections_;
+    ++pool_.opened_;
+  }
+  ~Connection() {
+    if (!closed_) --pool_.connections_;
+  }
+
+  const HostId host;
+  Time idleSince{};
+
+  void connect(const tcp::endpoint& endpoint) {
+    const auto self = shared_from_this();
+    timer_.expires_after(pool_.limits_.connectTimeout);
+    timer_.async_wait([this, self](error_code stopped) {
+      if (!stopped && !closed_ && connecting_) ended(false);
+    });
+    socket_.async_connect(endpoint, [this, self](error_code error) {
+      if (closed_ || !connecting_) return;
+      error_code ignored;
+      if (!error) socket_.set_option(tcp::no_delay(true), ignored);
+      ended(!error);
+    });
+  }
+
+  void carry(AttemptId attempt, UpstreamRequest&& request) {
+    attempt_ = attempt;
+    request_ = std::move(request);
+    parser_.emplace();
+    parser_->body_limit(kBodyMost);
+    parser_->header_limit(kHeaderMost);
+    const auto self = shared_from_this();
+    http::async_write(socket_, request_, [this, self](error_code error, std::size_t) {
+      if (closed_) return;
+      // An error here means that the last byte was never written: the host has not begun.
+      if (error) return over(Outcome::connectFailed);
+      read();
+    });
+  }
+
+  bool alive() {  // danger: the host may have closed it a moment ago, with the news still in the queue
+    char byte = 0;
+    const ssize_t n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void watch() {  // while idle: anything that comes, the end above all, makes it useless
+    if (std::exchange(watching_, true)) return;  // that of an earlier idle time is still out
+    socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code error) {
+      watching_ = false;
+      if (closed_ || attempt_ != 0) return;
+      if (!error && alive()) return watch();
+      auto& idle = pool_.upstreams_[host].idle;
+      idle.erase(std::remove(idle.begin(), idle.end(), self), idle.end());
+      close();
+    });
+  }
+
+  void close() {
+    if (closed_) return;
+    closed_ = true;
+    --pool_.connections_;
+    error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+  }
+
+ private:
+  void ended(bool good) {
+    connecting_ = false;
+    timer_.cancel();
+    const auto self = shared_from_this();
+    if (!good) close();
+    pool_.connectEnded(self, good);
+  }
+
+  void read() {
+    http::async_read(socket_, buffer_, *parser_,
+                     [this, self = shared_from_this()](error_code error, std::size_t) {
+                       if (closed_) return;
+                       if (error)
+                         return over(Outcome::reset);  // cut short, malformed or too large: it may have run
+                       const auto status = parser_->get().result_int();
+                       if (status >= 100 && status < 200) {  // an interim answer; the final one follows
+                         parser_.emplace();
+                         parser_->body_limit(kBodyMost);
+                         parser_->header_limit(kHeaderMost);
+                         return read();
+                       }
+                       const bool reusable = parser_->keep_alive() && buffer_.size() == 0;
+                       http::response<http::string_body> response = parser_->release();
+                       UpstreamAnswer answer;
+                       const Outcome outcome = outcomeOf(response);
+                       if (outcome == Outcome::served) {
+                         answer.contentType = std::string(response[http::field::content_type]);
+                         answer.body = std::move(response.body());
+                       }
+                       const AttemptId attempt = std::exchange(attempt_, 0);
+                       // Danger: the next attempt is started by what we tell of this one; the connection has
+                       // to be free first.
+                       if (reusable) pool_.assign(self);
+                       else close();
+                       pool_.settle(attempt, outcome, std::move(answer));
+                     });
+  }
+
+  void over(Outcome outcome) {
+    const AttemptId attempt = std::exchange(attempt_, 0);
+    close();
+    pool_.settle(attempt, outcome);
+  }
+
+  UpstreamPool& pool_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  UpstreamRequest request_;
+  AttemptId attempt_ = 0;
+  bool closed_ = false, connecting_ = true, watching_ = false;
+};
+
+UpstreamPool::UpstreamPool(asio::io_context& io, const Clock& clock, Limits limits, UpstreamEvents& events)
+    : io_(io), clock_(clock), limits_(limits), events_(events) {}
+UpstreamPool::~UpstreamPool() = default;
+
+void UpstreamPool::send(AttemptId id, HostId host, const tcp::endpoint& endpoint) {
+  Attempt& a = attempts_[id];
+  a.host = host;
+  a.endpoint = endpoint;
+  a.since = clock_.now();
+  Upstream& u = upstreams_[host];
+  while (!u.idle.empty()) {
+    const auto connection = u.idle.back();
+    u.idle.pop_back();
+    if (!connection->alive()) {
+      connection->close();
+      continue;
+    }
+    if (!put(id, connection)) assign(connection);
+    return;
+  }
+  u.waiting.push_back(id);
+  connectMore(host);
+  // Danger: behind other attempts the wait may outlast any one connect; it ends after the same time.
+  const auto timer = std::make_shared<asio::steady_timer>(io_, limits_.connectTimeout);
+  timer->async_wait([this, id, timer](error_code) {
+    const auto it = attempts_.find(id);
+    if (it != attempts_.end() && !it->second.connection) fail(id);
+  });
+}
+
+// Writes the attempt on the connection, unless the gateway no longer wants it to go out.
+bool UpstreamPool::put(AttemptId id, const std::shared_ptr<Connection>& connection) {
+  std::optional<UpstreamRequest> request = events_.compose(id);
+  if (!request) {
+    asio::post(io_, [this, id] { fail(id); });
+    return false;
+  }
+  attempts_[id].connection = connection;
+  connection->carry(id, std::move(*request));
+  return true;
+}
+
+void UpstreamPool::assign(const std::shared_ptr<Connection>& connection) {
+  Upstream& u = upstreams_[connection->host];
+  while (!u.waiting.empty()) {
+    const AttemptId id = u.waiting.front();
+    u.waiting.pop_front();
+    if (put(id, connection)) return;
+  }
+  if (!u.open) return connection->close();
+  connection->idleSince = clock_.now();
+  u.idle.push_back(connection);
+  connection->watch();
+}
+
+void UpstreamPool::connectMore(HostId host) {
+  Upstream& u = upstreams_[host];
+  // Danger: a connection costs the host real work; never more than attempts wait for, nor many at once.
+  while (u.connecting.size() < std::min(u.waiting.size(), limits_.connecting)) {
+    const auto connection = std::make_shared<Connection>(*this, host);
+    u.connecting.push_back(connection);
+    connection->connect(attempts_[u.waiting.back()].endpoint);
+  }
+}
+
+void UpstreamPool::connectEnded(const std::shared_ptr<Connection>& connection, bool good) {
+  Upstream& u = upstreams_[connection->host];
+  u.connecting.erase(std::remove(u.connecting.begin(), u.connecting.end(), connection), u.connecting.end());
+  if (good) {
+    assign(connection);
+    return connectMore(connection->host);
+  }
+  const auto waiting = std::exchange(u.waiting, {});
+  for (const AttemptId id : waiting) fail(id);
+}
+
+bool UpstreamPool::giveUp(AttemptId id) {
+  const auto it = attempts_.find(id);
+  if (it == attempts_.end()) return false;
+  const auto connection = it->second.connection;
+  auto& waiting = upstreams_[it->second.host].waiting;
+  waiting.erase(std::remove(waiting.begin(), waiting.end(), id), waiting.end());
+  attempts_.erase(it);
+  if (connection) connection->close();
+  return connection != nullptr;
+}
+
+void UpstreamPool::settle(AttemptId id, Outcome outcome, UpstreamAnswer&& answer) {
+  if (attempts_.erase(id) > 0) events_.onOutcome(id, outcome, std::move(answer));
+}
+
+void UpstreamPool::fail(AttemptId id) {  // it never went out
+  const auto it = attempts_.find(id);
+  if (it == attempts_.end()) return;
+  auto& waiting = upstreams_[it->second.host].waiting;
+  waiting.erase(std::remove(waiting.begin(), waiting.end(), id), waiting.end());
+  settle(id, Outcome::connectFailed);
+}
+
+void UpstreamPool::setOpen(HostId host, bool open) {
+  Upstream& u = upstreams_[host];
+  u.open = open;
+  if (open) return;
+  for (const auto& connection : std::exchange(u.idle, {})) connection->close();
+}
+
+void UpstreamPool::sweep() {
+  const Time before = clock_.now() - limits_.idleMost;
+  for (auto& [host, u] : upstreams_) {
+    const auto fresh = std::find_if(u.idle.begin(), u.idle.end(),
+                                    [&](const auto& connection) { return connection->idleSince > before; });
+    for (auto it = u.idle.begin(); it != fresh; ++it) (*it)->close();
+    u.idle.erase(u.idle.begin(), fresh);
+  }
+}
+
+bool UpstreamPool::shedIdle() {
+  for (auto& [host, u] : upstreams_) {
+    if (u.idle.empty()) continue;
+    u.idle.front()->close();
+    u.idle.erase(u.idle.begin());
+    return true;
+  }
+  return false;
+}
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/net/upstream.hpp
@@ -0,0 +1,89 @@
+// The upstream side: connections to the hosts, and the attempts that they carry.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/clock.hpp"
+#include "ridgeshift/ridgeshift.hpp"
+
+namespace finchstile {
+
+using boost::asio::ip::tcp;
+using AttemptId = std::uint64_t;  // never used again
+using UpstreamRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+struct UpstreamAnswer {
+  std::string body, contentType;
+};
+
+class UpstreamEvents {
+ public:
+  virtual ~UpstreamEvents() = default;
+  // Called right before the first byte would be written; nothing goes out if it returns none.
+  virtual std::optional<UpstreamRequest> compose(AttemptId attempt) = 0;
+  // Once for each attempt that was not given up; never from within a call of UpstreamPool.
+  virtual void onOutcome(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer) = 0;
+};
+
+class UpstreamPool {
+ public:
+  struct Limits {
+    Duration connectTimeout{};
+    Duration idleMost{};         // idle connections are closed after this
+    std::size_t connecting = 4;  // connections being opened to one host at once
+  };
+
+  UpstreamPool(boost::asio::io_context& io, const Clock& clock, Limits limits, UpstreamEvents& events);
+  ~UpstreamPool();
+
+  void send(AttemptId attempt, ridgeshift::HostId host, const tcp::endpoint& endpoint);
+  // Closes the attempt's connection; no outcome comes any more. True if a byte of it may have gone out.
+  bool giveUp(AttemptId attempt);
+  void setOpen(ridgeshift::HostId host, bool open);  // not open: connections are not kept
+  void sweep();                                      // to be called about once a second
+  bool shedIdle();  // gives a descriptor back; false if there is none to give
+
+  std::size_t connections() const { return connections_; }
+  std::size_t opened() const { return opened_; }  // since the start
+
+ private:
+  class Connection;
+  struct Upstream {
+    std::vector<std::shared_ptr<Connection>> idle;  // the most recently used last
+    std::deque<AttemptId> waiting;                  // attempts that have no connection yet
+    std::vector<std::shared_ptr<Connection>> connecting;
+    bool open = true;
+  };
+  struct Attempt {
+    ridgeshift::HostId host = ridgeshift::kNone;
+    std::shared_ptr<Connection> connection;  // null while it waits
+    tcp::endpoint endpoint;
+    Time since{};
+  };
+
+  void assign(const std::shared_ptr<Connection>& connection);  // a waiting attempt, or idle
+  bool put(AttemptId attempt, const std::shared_ptr<Connection>& connection);
+  void connectMore(ridgeshift::HostId host);
+  void connectEnded(const std::shared_ptr<Connection>& connection, bool good);
+  void settle(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer = {});
+  void fail(AttemptId attempt);
+
+  boost::asio::io_context& io_;
+  const Clock& clock_;
+  Limits limits_;
+  UpstreamEvents& events_;
+  std::unordered_map<ridgeshift::HostId, Upstream> upstreams_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::size_t connections_ = 0, opened_ = 0;
+};
+
+}  // namespace finchstile
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,7 +1,11 @@
 #include "settings.hpp"
 
+#include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <stdexcept>
+#include <string>
+#include <vector>
 
 namespace ridgeshift {
 namespace {
@@ -10,8 +14,94 @@
   if (!good) throw std::invalid_argument("ridgeshift settings: " + what);
 }
 
+struct Value {
+  std::string_view path, text;
+
+  template <class Number>
+  Number number() const {
+    Number n{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), n);
+    require(error == std::errc{} && end == text.data() + text.size(),
+            "'" + std::string(text) + "' is no number (" + std::string(path) + ")");
+    return n;
+  }
+  Duration span() const { return Duration(number<std::int64_t>()); }
+  bool boolean() const {
+    const bool yes = text == "1" || text == "true";
+    require(yes || text == "0" || text == "false",
+            "'" + std::string(text) + "' is no bool (" + std::string(path) + ")");
+    return yes;
+  }
+};
+
+// Splits "<head>.<index>.<field>" and returns the item of that index, or null for any other path.
+template <class T>
+T* item(std::vector<T>& items, std::string_view path, std::string_view head, std::string_view& field) {
+  constexpr std::size_t kMost = 1000;  // an absurd index must not fill the memory
+  if (path.substr(0, head.size()) != head || path.size() <= head.size() || path[head.size()] != '.')
+    return nullptr;
+  path.remove_prefix(head.size() + 1);
+  const std::size_t dot = path.find('.');
+  if (dot == std::string_view::npos) return nullptr;
+  std::size_t index = 0;
+  const auto [end, error] = std::from_chars(path.data(), path.data() + dot, index);
+  if (error != std::errc{} || end != path.data() + dot || index > kMost) return nullptr;
+  field = path.substr(dot + 1);
+  if (items.size() <= index) items.resize(index + 1);
+  return &items[index];
+}
+
+void applyToClass(ClassSettings& c, std::string_view field, const Value& v) {
+  if (field == "name") c.name = v.text;
+  else if (field == "aimNs") c.aim = v.span();
+  else if (field == "giveUpNs") c.giveUp = v.span();
+  else if (field == "windowNs") c.window = v.span();
+  else if (field == "points") c.worth = v.number<double>();
+  else if (field == "lateShare") c.lateShare = v.number<double>();
+  else if (field == "aimStretch") c.aimStretch = v.number<double>();
+  else if (field == "effect")
+    c.effect = v.text == "retryable" ? Effect::retryable
+               : v.text == "dedup"   ? Effect::dedup
+                                     : Effect::fragile;
+  else if (field == "group")
+    c.group = v.text == "all" ? Group::all : v.text == "zone" ? Group::zone : Group::cell;
+}
+
 }  // namespace
 
+void applySetting(Settings& s, std::string_view n, std::string_view text) {
+  const Value v{n, text};
+  std::string_view field;
+  if (n == "rngSeed") s.seed = static_cast<std::uint64_t>(v.number<std::int64_t>());
+  else if (n == "groupSize") s.groupSize = v.number<std::uint32_t>();
+  else if (n == "zone") s.zone = text;
+  else if (n == "overShareWorth") s.overShareWorth = v.number<double>();
+  else if (n == "registryMode") s.askDiscovery = text == "ask";
+  else if (n == "stepNs") s.step = v.span();
+  else if (n == "domain.warmKeys") s.warmKeys = v.boolean();
+  else if (n == "ceilings.retryAfter") s.retryAfter = v.boolean();
+  else if (n == "ceilings.cancel") s.cancel = v.boolean();
+  else if (n == "ceilings.maxAttempts") s.maxAttempts = v.number<std::uint32_t>();
+  else if (n == "ceilings.maxRetryAfterNs") s.maxRetryAfter = v.span();
+  else if (n == "ceilings.probes") s.probes = v.boolean();
+  else if (n == "ceilings.peers") s.peers = v.boolean();
+  else if (n == "myNumber") s.myNumber = v.number<std::uint32_t>();
+  else if (n == "rules.askWithinNs") s.askWithin = v.span();
+  else if (n == "rules.coldNs") s.coldTime = v.span();
+  else if (n == "rules.coldShare") s.coldShare = v.number<double>();
+  else if (n == "rules.fallMultiple") s.fallMultiple = v.number<double>();
+  else if (n == "rules.fallNs") s.fallWindow = v.span();
+  else if (ClassSettings* c = item(s.classes, n, "grades", field)) applyToClass(*c, field, v);
+  else if (TenantSettings* t = item(s.tenants, n, "tenants", field)) {
+    if (field == "name") t->name = text;
+    else if (field == "quotaRps") t->quotaPerSecond = v.number<double>();
+  }
+}
+
+void completeSettings(Settings& s) {
+  for (ClassSettings& c : s.classes) c.giveUp = std::max(c.giveUp, c.aim);
+}
+
 void validate(const Settings& s) {
   require(s.groupSize >= 1, "groupSize must be at least 1");
   require(!s.classes.empty(), "at least one class is needed");
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <stdexcept>
 
+#include "settings.hpp"
+
 namespace ridgeshift::wire {
 namespace {
 
@@ -72,19 +74,6 @@
   out.append(buffer, end);
 }
 
-// Calls f(index, field) for a path such as "<head>.<index>.<field>".
-template <class F>
-void indexed(std::string_view path, std::string_view head, F f) {
-  if (path.substr(0, head.size()) != head || path.size() <= head.size() || path[head.size()] != '.') return;
-  path.remove_prefix(head.size() + 1);
-  const std::size_t dot = path.find('.');
-  if (dot == std::string_view::npos) return;
-  std::size_t index = 0;
-  const auto [end, error] = std::from_chars(path.data(), path.data() + dot, index);
-  if (error != std::errc{} || end != path.data() + dot || index > 1000) return;
-  f(index, path.substr(dot + 1));
-}
-
 std::string fromHex(std::string_view text) {
   if (text.size() % 2 != 0) throw BadLine("odd number of hex digits");
   std::string bytes;
@@ -103,67 +92,17 @@
   for (unsigned char c : bytes) (out += digits[c >> 4]) += digits[c & 15];
 }
 
-template <class T>
-T& at(std::vector<T>& v, std::size_t index) {
-  if (v.size() <= index) v.resize(index + 1);
-  return v[index];
-}
-
 }  // namespace
 
 Settings readSettings(std::string_view rest) {
   Settings s;
   Pair p;
   try {
-    while (nextPair(rest, p)) {
-      const std::string_view n = p.name;
-      if (n == "rngSeed") s.seed = static_cast<std::uint64_t>(number<std::int64_t>(p));
-      else if (n == "groupSize") s.groupSize = number<std::uint32_t>(p);
-      else if (n == "zone") s.zone = p.value;
-      else if (n == "overShareWorth") s.overShareWorth = number<double>(p);
-      else if (n == "registryMode") s.askDiscovery = p.value == "ask";
-      else if (n == "stepNs") s.step = span(p);
-      else if (n == "domain.warmKeys") s.warmKeys = boolean(p);
-      else if (n == "ceilings.retryAfter") s.retryAfter = boolean(p);
-      else if (n == "ceilings.cancel") s.cancel = boolean(p);
-      else if (n == "ceilings.maxAttempts") s.maxAttempts = number<std::uint32_t>(p);
-      else if (n == "ceilings.maxRetryAfterNs") s.maxRetryAfter = span(p);
-      else if (n == "ceilings.probes") s.probes = boolean(p);
-      else if (n == "ceilings.peers") s.peers = boolean(p);
-      else if (n == "myNumber") s.myNumber = number<std::uint32_t>(p);
-      else if (n == "rules.askWithinNs") s.askWithin = span(p);
-      else if (n == "rules.coldNs") s.coldTime = span(p);
-      else if (n == "rules.coldShare") s.coldShare = number<double>(p);
-      else if (n == "rules.fallMultiple") s.fallMultiple = number<double>(p);
-      else if (n == "rules.fallNs") s.fallWindow = span(p);
-      else {
-        indexed(n, "grades", [&](std::size_t i, std::string_view field) {
-          ClassSettings& c = at(s.classes, i);
-          if (field == "name") c.name = p.value;
-          else if (field == "aimNs") c.aim = span(p);
-          else if (field == "giveUpNs") c.giveUp = span(p);
-          else if (field == "windowNs") c.window = span(p);
-          else if (field == "points") c.worth = number<double>(p);
-          else if (field == "lateShare") c.lateShare = number<double>(p);
-          else if (field == "aimStretch") c.aimStretch = number<double>(p);
-          else if (field == "effect")
-            c.effect = p.value == "retryable" ? Effect::retryable
-                       : p.value == "dedup"   ? Effect::dedup
-                                              : Effect::fragile;
-          else if (field == "group")
-            c.group = p.value == "all" ? Group::all : p.value == "zone" ? Group::zone : Group::cell;
-        });
-        indexed(n, "tenants", [&](std::size_t i, std::string_view field) {
-          TenantSettings& t = at(s.tenants, i);
-          if (field == "name") t.name = p.value;
-          else if (field == "quotaRps") t.quotaPerSecond = number<double>(p);
-        });
-      }
-    }
+    while (nextPair(rest, p)) applySetting(s, p.name, p.value);
   } catch (const BadLine& bad) {
     throw std::invalid_argument(bad.what());
   }
-  for (ClassSettings& c : s.classes) c.giveUp = std::max(c.giveUp, c.aim);
+  completeSettings(s);
   return s;
 }
 
