Tests over loopback sockets; bounded answers, lists that are lists

Cause: the tests showed two faults. Beast 1.74 does not hold the announced length of a response to the body limit (an answer of 65,537 bytes was served, one of any size would have been read into memory), and a list whose 'endpoints' is an object was read as an empty fleet. Excluded: the same on the request side (413 as it should be).

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -73,7 +73,9 @@
   HostList out;
   out.index = list.at("index").get<std::int64_t>();
   out.whole = list.at("snapshot").get<bool>();
-  for (const json& item : list.at("endpoints")) {
+  const json& endpoints = list.at("endpoints");
+  if (!endpoints.is_array()) fail("bad host list: endpoints is no list");  // else {} would empty the fleet
+  for (const json& item : endpoints) {
     ListedHost h;
     HostEntry& e = h.entry;
     e.address = item.at("name").get<std::string>();
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -66,9 +66,7 @@
   void carry(AttemptId attempt, UpstreamRequest&& request) {
     attempt_ = attempt;
     request_ = std::move(request);
-    parser_.emplace();
-    parser_->body_limit(kBodyMost);
-    parser_->header_limit(kHeaderMost);
+    expectAnswer();
     const auto self = shared_from_this();
     http::async_write(socket_, request_, [this, self](error_code error, std::size_t) {
       if (closed_) return;
@@ -106,6 +104,12 @@
   }
 
  private:
+  void expectAnswer() {
+    parser_.emplace();
+    parser_->body_limit(kBodyMost);
+    parser_->header_limit(kHeaderMost);
+  }
+
   void ended(bool good) {
     connecting_ = false;
     timer_.cancel();
@@ -115,33 +119,41 @@
   }
 
   void read() {
-    http::async_read(socket_, buffer_, *parser_,
-                     [this, self = shared_from_this()](error_code error, std::size_t) {
-                       if (closed_) return;
-                       if (error)
-                         return over(Outcome::reset);  // cut short, malformed or too large: it may have run
-                       const auto status = parser_->get().result_int();
-                       if (status >= 100 && status < 200) {  // an interim answer; the final one follows
-                         parser_.emplace();
-                         parser_->body_limit(kBodyMost);
-                         parser_->header_limit(kHeaderMost);
-                         return read();
-                       }
-                       const bool reusable = parser_->keep_alive() && buffer_.size() == 0;
-                       http::response<http::string_body> response = parser_->release();
-                       UpstreamAnswer answer;
-                       const Outcome outcome = outcomeOf(response);
-                       if (outcome == Outcome::served) {
-                         answer.contentType = std::string(response[http::field::content_type]);
-                         answer.body = std::move(response.body());
-                       }
-                       const AttemptId attempt = std::exchange(attempt_, 0);
-                       // Danger: the next attempt is started by what we tell of this one; the connection has
-                       // to be free first.
-                       if (reusable) pool_.assign(self);
-                       else close();
-                       pool_.settle(attempt, outcome, std::move(answer));
-                     });
+    http::async_read_header(
+        socket_, buffer_, *parser_, [this, self = shared_from_this()](error_code error, std::size_t) {
+          if (closed_) return;
+          if (error) return over(Outcome::reset);
+          // Danger: Beast 1.74 holds announced lengths of responses to no limit.
+          const auto length = parser_->content_length();
+          if (length && *length > kBodyMost) return over(Outcome::reset);
+          http::async_read(socket_, buffer_, *parser_, [this, self](error_code bad, std::size_t) {
+            if (closed_) return;
+            if (bad) return over(Outcome::reset);  // cut short, malformed or too large: it may have run
+            answered();
+          });
+        });
+  }
+
+  void answered() {
+    const auto self = shared_from_this();
+    const auto status = parser_->get().result_int();
+    if (status >= 100 && status < 200) {  // an interim answer; the final one follows
+      expectAnswer();
+      return read();
+    }
+    const bool reusable = parser_->keep_alive() && buffer_.size() == 0;
+    http::response<http::string_body> response = parser_->release();
+    UpstreamAnswer answer;
+    const Outcome outcome = outcomeOf(response);
+    if (outcome == Outcome::served) {
+      answer.contentType = std::string(response[http::field::content_type]);
+      answer.body = std::move(response.body());
+    }
+    const AttemptId attempt = std::exchange(attempt_, 0);
+    // Danger: the next attempt is started by what we tell of this one; the connection has to be free first.
+    if (reusable) pool_.assign(self);
+    else close();
+    pool_.settle(attempt, outcome, std::move(answer));
   }
 
   void over(Outcome outcome) {
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,90 @@
+// The gateway's configuration, and the settings that it shares with the adapter.
+#include "net/config.hpp"
+
+#include "sockets.hpp"
+#include "wire.hpp"
+
+namespace finchstile::testing {
+namespace {
+
+std::string complaint(const std::function<void(json&)>& change) {
+  const Clock clock;
+  json config = configJson({asio::ip::make_address("127.0.0.1"), 1}, json::array());
+  change(config);
+  try {
+    readConfig(config.dump(), clock);
+  } catch (const std::exception& bad) {
+    return bad.what();
+  }
+  return "";
+}
+
+TEST(Config, ReadsSettingsAsTheAdapterDoes) {
+  const Clock clock;
+  json config = configJson({asio::ip::make_address("127.0.0.1"), 1}, json::array());
+  config["settings"]["tenants"] = {{{"name", "acme"}, {"quotaRps", 12.5}, {"portion", 0.5}}};
+  const auto a = readConfig(config.dump(), clock).settings;
+  const auto b = ridgeshift::wire::readSettings(
+      "rngSeed=5 groupSize=1 zone=east registryMode=ask stepNs=5000000 ceilings.cancel=true "
+      "ceilings.maxAttempts=3 ceilings.maxRetryAfterNs=1000000000 rules.askWithinNs=10000000000 "
+      "rules.coldNs=9000000000 rules.coldShare=0.32 rules.fallNs=2000000000 grades.count=2 "
+      "grades.0.name=read grades.0.effect=retryable grades.0.aimNs=3000000000 grades.0.points=12.0 "
+      "grades.2.name=put grades.2.effect=dedup grades.2.group=zone grades.2.windowNs=2000000000 "
+      "tenants.0.name=acme tenants.0.quotaRps=12.5");
+  EXPECT_EQ(a.seed, 0x92094eb940cf389aULL);  // the configuration's seed is hexadecimal
+  EXPECT_EQ(b.seed, 5u);
+  EXPECT_EQ(a.zone, b.zone);
+  EXPECT_TRUE(a.askDiscovery && b.askDiscovery && a.cancel && b.cancel);
+  EXPECT_EQ(a.step, b.step);
+  EXPECT_EQ(a.askWithin, b.askWithin);
+  EXPECT_EQ(a.coldTime, b.coldTime);
+  EXPECT_EQ(a.coldShare, b.coldShare);
+  EXPECT_EQ(a.fallWindow, b.fallWindow);
+  EXPECT_EQ(a.maxAttempts, 3u);
+  EXPECT_EQ(b.maxAttempts, 3u);
+  ASSERT_EQ(a.classes.size(), 3u);
+  ASSERT_EQ(b.classes.size(), 3u);
+  EXPECT_EQ(a.classes[0].effect, ridgeshift::Effect::retryable);
+  EXPECT_EQ(a.classes[0].aim, b.classes[0].aim);
+  EXPECT_EQ(a.classes[0].worth, b.classes[0].worth);
+  EXPECT_EQ(a.classes[2].group, b.classes[2].group);
+  EXPECT_EQ(a.classes[2].window, b.classes[2].window);
+  ASSERT_EQ(a.tenants.size(), 1u);
+  EXPECT_EQ(a.tenants[0].quotaPerSecond, b.tenants[0].quotaPerSecond);
+}
+
+TEST(Config, SaysInOneLineWhatIsWrong) {
+  EXPECT_EQ(complaint([](json&) {}), "");
+  EXPECT_NE(complaint([](json& c) { c.erase("settings"); }).find("settings"), std::string::npos);
+  EXPECT_NE(complaint([](json& c) { c["seed"] = "xyz"; }).find("xyz"), std::string::npos);
+  EXPECT_NE(complaint([](json& c) { c["listen"] = "nowhere"; }).find("nowhere"), std::string::npos);
+  EXPECT_NE(complaint([](json& c) { c["settings"]["grades"] = json::array(); }).find("class"),
+            std::string::npos);
+  EXPECT_NE(complaint([](json& c) { c["settings"]["stepNs"] = "soon"; }).find("stepNs"), std::string::npos);
+  EXPECT_NE(complaint([](json& c) { c["settings"]["ceilings"].erase("idleCloseNs"); }).find("idleCloseNs"),
+            std::string::npos);
+  EXPECT_EQ(complaint([](json& c) { c["seed"] = ""; }).find('\n'), std::string::npos);
+}
+
+TEST(Config, StartTimesAreTheSameFromListToList) {
+  const Clock clock;
+  const auto unixNow = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
+  const tcp::endpoint at{asio::ip::make_address("127.0.0.1"), 80};
+  const std::string text =
+      listJson(4, true,
+               {hostJson("a", at, "active", unixNow - 2000), hostJson("b", at), hostJson("c", at, "left")})
+          .dump();
+  const HostList one = parseHostList(text, clock), two = parseHostList(text, clock);
+  ASSERT_EQ(one.hosts.size(), 3u);
+  EXPECT_EQ(one.hosts[0].entry.upSince, two.hosts[0].entry.upSince);
+  EXPECT_EQ(one.hosts[1].entry.upSince, Time{});  // 0: long ago
+  EXPECT_EQ(one.hosts[2].entry.phase, ridgeshift::Phase::out);
+  const auto age = clock.now() - one.hosts[0].entry.upSince;
+  EXPECT_GE(age, std::chrono::milliseconds(1900));
+  EXPECT_LT(age, std::chrono::seconds(60));
+}
+
+}  // namespace
+}  // namespace finchstile::testing
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,482 @@
+// The gateway over loopback sockets.
+#include <sys/resource.h>
+
+#include "sockets.hpp"
+
+namespace finchstile::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct GatewayTest : ::testing::Test {
+  asio::io_context io;
+  Clock clock;
+  // Holds each call of discovery; a test answers it when it likes.
+  std::vector<std::shared_ptr<Peer>> calls;
+  Server discovery{io, [this](const auto& peer, const Received&) { calls.push_back(peer); }};
+  std::vector<std::unique_ptr<Server>> hosts;
+  std::unique_ptr<Gateway> gateway;
+
+  Server& host(Server::Handler h) { return *hosts.emplace_back(std::make_unique<Server>(io, std::move(h))); }
+  json listed() {
+    json list = json::array();
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+      list.push_back(hostJson("s-" + std::to_string(i), hosts[i]->endpoint()));
+    return list;
+  }
+  void start(const std::function<void(json&)>& change = [](json&) {}) {
+    json config = configJson(discovery.endpoint(), listed());
+    change(config);
+    gateway = std::make_unique<Gateway>(io, clock, readConfig(config.dump(), clock));
+    gateway->start();
+  }
+  std::unique_ptr<Client> client() { return std::make_unique<Client>(io, gateway->endpoint()); }
+  bool until(const std::function<bool()>& reached) { return runUntil(io, reached); }
+  std::size_t received() const {
+    std::size_t all = 0;
+    for (const auto& h : hosts) all += h->received.size();
+    return all;
+  }
+};
+
+const auto serveOk = [](const std::shared_ptr<Peer>& peer, const Received&) { peer->reply(200, "ok"); };
+const auto hold = [](const std::shared_ptr<Peer>&, const Received&) {};
+
+TEST_F(GatewayTest, PassesRequestAndAnswerOnUnchanged) {
+  const std::string odd("a\0b\r\n\r\n\xff", 8);
+  host([&](const auto& peer, const Received&) { peer->reply(200, odd + "!"); });
+  start();
+  const auto c = client();
+  c->ask("POST", "/put/x%20y?a=1&b=%2f", 2500, odd, "Idempotency-Key: key-7\r\nX-Account: acme\r\n");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+  EXPECT_EQ(c->answers[0].body(), odd + "!");
+  const Received& r = hosts[0]->received.at(0);
+  EXPECT_EQ(r.method(), http::verb::post);
+  EXPECT_EQ(r.target(), "/put/x%20y?a=1&b=%2f");
+  EXPECT_EQ(r.body(), odd);
+  EXPECT_EQ(r["X-Correlation-Id"], "id-1");
+  EXPECT_EQ(r["Idempotency-Key"], "key-7");
+  const int left = std::stoi(std::string(r["X-Time-Left-Ms"]));
+  EXPECT_GT(left, 0);
+  EXPECT_LE(left, 2500);
+}
+
+TEST_F(GatewayTest, AnswersBadInputItself) {
+  host(serveOk);
+  start();
+  const std::vector<std::pair<std::string, unsigned>> cases = {
+      {"BLAH\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Time-Left-Ms: soon\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Time-Left-Ms: 0\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Time-Left-Ms: -5\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Time-Left-Ms: 99999999999999999999\r\n\r\n", 400},
+      {"POST /book HTTP/1.1\r\nX-Time-Left-Ms: 900\r\nContent-Length: 65537\r\n\r\n", 413},
+      {"POST /book HTTP/1.1\r\nX-Time-Left-Ms: 900\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" +
+           std::string(65537, 'x'),
+       413},
+  };
+  for (const auto& [bytes, status] : cases) {
+    const auto c = client();
+    c->write(bytes);
+    ASSERT_TRUE(until([&] { return c->answers.size() == 1; })) << bytes.substr(0, 80);
+    EXPECT_EQ(c->answers[0].result_int(), status) << bytes.substr(0, 80);
+  }
+  EXPECT_EQ(received(), 0u);
+  const auto c = client();  // the largest body that is allowed
+  c->ask("POST", "/book", 2500, std::string(65536, 'x'));
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+}
+
+TEST_F(GatewayTest, TellsAClientThatWaitsForTheWordToGoOn) {
+  host(serveOk);
+  start();
+  const auto c = client();
+  c->write(
+      "POST /book HTTP/1.1\r\nX-Time-Left-Ms: 2500\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 100u);
+  c->write("hi");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 2; }));
+  EXPECT_EQ(c->answers[1].result_int(), 200u);
+  EXPECT_EQ(hosts[0]->received.at(0).body(), "hi");
+}
+
+TEST_F(GatewayTest, PipelinedRequestsAreAnsweredInTurn) {
+  host([](const auto& peer, const Received& r) { peer->reply(200, std::string(r.target())); });
+  start();
+  const auto c = client();
+  std::string bytes;
+  for (int i = 0; i < 20; ++i)
+    bytes += "GET /read/" + std::to_string(i) + " HTTP/1.1\r\nX-Time-Left-Ms: 2500\r\n\r\n";
+  c->write(bytes);
+  ASSERT_TRUE(until([&] { return c->answers.size() == 20; }));
+  for (std::size_t i = 0; i < 20; ++i) EXPECT_EQ(c->answers[i].body(), "/read/" + std::to_string(i));
+  EXPECT_EQ(gateway->openRequests(), 0u);
+}
+
+// An outcome that proves nothing: an unsafe request fails, and no second host sees it.
+TEST_F(GatewayTest, UnsafeRequestIsNotResentWhenItMayHaveRun) {
+  const std::vector<std::string> answers = {
+      "",                                                              // the connection just ends
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",              // cut short
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",  // the same, in chunks
+      "nonsense\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + std::string(65537, 'x'),
+      "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",  // no mark: it may have run
+      "HTTP/1.1 503 X\r\nX-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n",
+  };
+  std::size_t at = 0;
+  for (int i = 0; i < 2; ++i)
+    host([&](const auto& peer, const Received&) {
+      error_code ignored;
+      asio::write(peer->socket, asio::buffer(answers[at]), ignored);
+      peer->close();
+    });
+  start();
+  for (; at < answers.size(); ++at) {
+    const auto c = client();
+    c->ask("POST", "/book", 2500, "x");
+    ASSERT_TRUE(until([&] { return c->answers.size() == 1; })) << at;
+    EXPECT_EQ(c->answers[0].result_int(), 502u) << at;
+    EXPECT_EQ(received(), at + 1) << at;
+  }
+}
+
+TEST_F(GatewayTest, TurnedAwayRequestGoesToAnotherHost) {
+  bool turned = false;
+  for (int i = 0; i < 2; ++i)
+    host([&](const auto& peer, const Received&) {
+      if (std::exchange(turned, true)) peer->reply(200, "second");
+      else peer->reply(503, "", "X-Unprocessed: 1\r\n");
+    });
+  start();
+  const auto c = client();
+  c->ask("POST", "/book", 2500, "x");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].body(), "second");
+  EXPECT_EQ(hosts[0]->received.size(), 1u);
+  EXPECT_EQ(hosts[1]->received.size(), 1u);
+}
+
+TEST_F(GatewayTest, RefusesAtOnceWhenAllTurnAway) {
+  for (int i = 0; i < 2; ++i)
+    host([](const auto& peer, const Received&) { peer->reply(504, "", "X-Unprocessed: 1\r\n"); });
+  start();
+  const auto c = client();
+  const auto begun = std::chrono::steady_clock::now();
+  c->ask("POST", "/book", 2900, "x");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 503u);
+  // Half of the client's time is far more than this takes, and far less than holding it back would.
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, milliseconds(1450));
+}
+
+TEST_F(GatewayTest, ConnectionRefusedNeverRanAndIsTriedElsewhere) {
+  host(serveOk);
+  const tcp::endpoint nobody = [&] { return tcp::acceptor(io, loopback()).local_endpoint(); }();
+  start([&](json& config) { config["known"]["endpoints"].push_back(hostJson("s-gone", nobody)); });
+  const auto c = client();
+  for (std::size_t i = 1; i <= 12; ++i) {
+    c->ask("POST", "/book", 2500, "x");
+    ASSERT_TRUE(until([&] { return c->answers.size() == i; }));
+    EXPECT_EQ(c->answers.back().result_int(), 200u);
+  }
+  EXPECT_EQ(received(), 12u);
+}
+
+// A host that closes an idle connection: the next request must not be written to it.
+TEST_F(GatewayTest, ClosedIdleConnectionIsNotPicked) {
+  host(serveOk);
+  start();
+  const auto c = client();
+  for (std::size_t i = 1; i <= 3; ++i) {
+    c->ask("POST", "/book", 2500, "x");
+    ASSERT_TRUE(until([&] { return c->answers.size() == i; }));
+    EXPECT_EQ(c->answers.back().result_int(), 200u);
+    hosts[0]->peers.back()->close();  // no turn of the loop between this and the next request
+  }
+  EXPECT_EQ(hosts[0]->peers.size(), 3u);
+}
+
+TEST_F(GatewayTest, ConnectionsAreReused) {
+  host(serveOk);
+  start();
+  const auto c = client();
+  for (std::size_t i = 1; i <= 10; ++i) {
+    c->ask("GET", "/read", 2500);
+    ASSERT_TRUE(until([&] { return c->answers.size() == i; }));
+  }
+  EXPECT_EQ(hosts[0]->peers.size(), 1u);
+}
+
+TEST_F(GatewayTest, AttemptThatTimesOutIsClosedBeforeTheAnswer) {
+  host(hold);
+  start();
+  const auto c = client();
+  c->ask("POST", "/book", 300, "x");
+  ASSERT_TRUE(until([&] { return hosts[0]->received.size() == 1; }));
+  bool endedFirst = false;
+  ASSERT_TRUE(until([&] {
+    if (c->answers.empty() && gateway->upstreamConnections() == 0) endedFirst = true;
+    return c->answers.size() == 1;
+  }));
+  EXPECT_TRUE(endedFirst || gateway->upstreamConnections() == 0);
+  EXPECT_EQ(c->answers[0].result_int(), 502u);  // it may have run: no refusal
+  ASSERT_TRUE(until([&] { return hosts[0]->peers[0]->ended; }));
+  EXPECT_EQ(received(), 1u);
+  EXPECT_EQ(gateway->openRequests(), 0u);
+}
+
+TEST_F(GatewayTest, ClientThatLeavesEndsItsAttempt) {
+  host(hold);
+  start();
+  auto c = client();
+  c->ask("GET", "/read", 2900);
+  ASSERT_TRUE(until([&] { return hosts[0]->received.size() == 1; }));
+  c->close();
+  ASSERT_TRUE(until([&] { return hosts[0]->peers[0]->ended; }));
+  EXPECT_EQ(gateway->openRequests(), 0u);
+  EXPECT_EQ(gateway->upstreamConnections(), 0u);
+}
+
+TEST_F(GatewayTest, InterimAnswerIsNotTheFinalOne) {
+  host([](const auto& peer, const Received&) {
+    peer->write("HTTP/1.1 100 Continue\r\n\r\n");
+    peer->reply(200, "final");
+  });
+  start();
+  const auto c = client();
+  c->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].body(), "final");
+}
+
+TEST_F(GatewayTest, WatchFollowsAtOnceAndChangesAreHeeded) {
+  host(serveOk);
+  host(serveOk);
+  start();
+  ASSERT_TRUE(until([&] { return calls.size() == 1; }));
+  EXPECT_EQ(discovery.received[0].target().substr(0, 41), "/registry/instances?since=1&timeout_ms=25");
+  calls[0]->reply(200,
+                  listJson(2, false, json::array({hostJson("s-0", hosts[0]->endpoint(), "leaving")})).dump());
+  ASSERT_TRUE(until([&] { return calls.size() == 2; }));
+  EXPECT_NE(discovery.received[1].target().find("since=2"), boost::beast::string_view::npos);
+  EXPECT_EQ(discovery.peers.size(), 1u);  // on the same connection
+  const auto c = client();
+  for (std::size_t i = 1; i <= 12; ++i) {
+    c->ask("GET", "/read", 2500);
+    ASSERT_TRUE(until([&] { return c->answers.size() == i; }));
+  }
+  EXPECT_EQ(hosts[0]->received.size(), 0u);
+  EXPECT_EQ(hosts[1]->received.size(), 12u);
+  // A whole list replaces: what it leaves out is gone.
+  calls[1]->reply(200, listJson(3, true, json::array({hostJson("s-0", hosts[0]->endpoint())})).dump());
+  ASSERT_TRUE(until([&] { return calls.size() == 3; }));
+  for (std::size_t i = 13; i <= 24; ++i) {
+    c->ask("GET", "/read", 2500);
+    ASSERT_TRUE(until([&] { return c->answers.size() == i; }));
+  }
+  EXPECT_EQ(hosts[0]->received.size(), 12u);
+  EXPECT_EQ(hosts[1]->received.size(), 12u);
+}
+
+TEST_F(GatewayTest, FailedWatchIsAskedForAgain) {
+  host(serveOk);
+  start();
+  const std::vector<std::function<void(Peer&)>> failures = {
+      [](Peer& p) { p.reply(503, ""); },
+      [](Peer& p) { p.close(); },
+      [](Peer& p) { p.reply(200, "{\"index\":2,"); },
+      [](Peer& p) { p.reply(200, "{\"index\":2,\"snapshot\":true,\"endpoints\":{}}"); },
+      [](Peer& p) { p.reply(200, "{\"index\":2,\"snapshot\":true,\"endpoints\":[{\"name\":7}]}"); },
+  };
+  for (std::size_t i = 0; i < failures.size(); ++i) {
+    ASSERT_TRUE(until([&] { return calls.size() == i + 1; })) << i;
+    failures[i](*calls[i]);
+  }
+  ASSERT_TRUE(until([&] { return calls.size() == failures.size() + 1; }));
+  EXPECT_NE(discovery.received.back().target().find("since=1"), boost::beast::string_view::npos);
+  const auto c = client();  // the old list stands
+  c->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+}
+
+TEST_F(GatewayTest, SilentWatchIsAskedForAgain) {
+  host(serveOk);
+  // A short limit on silence, hence a short wait: the second call must come though the first is never
+  // answered.
+  start([](json& config) { config["settings"]["rules"]["askWithinNs"] = 400000000; });
+  ASSERT_TRUE(until([&] { return calls.size() == 2; }));
+  EXPECT_EQ(discovery.peers.size(), 2u);  // the silent connection is not used again
+}
+
+TEST_F(GatewayTest, DrainAnswersWhatWasTakenAndThenEnds) {
+  host(hold);
+  start();
+  const auto held = client(), idle = client();
+  held->ask("GET", "/read", 2900);
+  idle->write("GET /health/ready HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(until([&] { return hosts[0]->received.size() == 1 && idle->answers.size() == 1; }));
+  EXPECT_EQ(idle->answers[0].result_int(), 200u);
+  int done = 0;
+  gateway->drain([&] { ++done; });
+  hosts[0]->handler = serveOk;
+  const auto late = client();  // fronts go on connecting for a while
+  late->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return late->answers.size() == 1; }));
+  EXPECT_EQ(late->answers[0].result_int(), 200u);
+  EXPECT_FALSE(late->answers[0].keep_alive());
+  idle->write("GET /health/ready HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(until([&] { return idle->answers.size() == 2; }));
+  EXPECT_EQ(idle->answers[1].result_int(), 503u);
+  EXPECT_EQ(done, 0);
+  const tcp::endpoint at = gateway->endpoint();
+  const Client queued(io, at);  // waits in the accept queue: no turn of the loop has come
+  hosts[0]->peers[0]->reply(200, "at last");
+  ASSERT_TRUE(until([&] { return held->answers.size() == 1; }));
+  EXPECT_EQ(held->answers[0].body(), "at last");
+  ASSERT_TRUE(until([&] { return done == 1; }));
+  EXPECT_EQ(gateway->openRequests(), 0u);
+  tcp::socket refused(io);
+  error_code error;
+  refused.connect(at, error);
+  EXPECT_TRUE(error);
+}
+
+TEST_F(GatewayTest, RunningOutOfDescriptorsIsSurvived) {
+  host(serveOk);
+  start();
+  tcp::socket probe(io);
+  probe.open(tcp::v4());
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  rlimit tight = before;
+  tight.rlim_cur = static_cast<rlim_t>(probe.native_handle()) + 1;  // none left: accept fails
+  probe.close();
+  auto c = std::make_unique<tcp::socket>(io);
+  c->open(tcp::v4());  // takes the last one
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &tight), 0);
+  c->connect(gateway->endpoint());
+  asio::write(*c, asio::buffer(std::string("GET /health/live HTTP/1.1\r\n\r\n")));
+  int turns = 0;
+  runUntil(io, [&] { return ++turns > 10; });
+  EXPECT_EQ(gateway->clientConnections(), 0u);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+  ASSERT_TRUE(until([&] { return c->available() > 0; }));
+  std::string answer(c->available(), '\0');
+  asio::read(*c, asio::buffer(answer));
+  EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+}
+
+TEST_F(GatewayTest, ClientConnectionsStayWithinTheirShareOfDescriptors) {
+  host(serveOk);
+  start([](json& config) { config["limits"]["sockets"] = 20; });
+  std::vector<std::unique_ptr<Client>> many;
+  for (int i = 0; i < 40; ++i) many.push_back(client());
+  const auto left = [&] {
+    return std::count_if(many.begin(), many.end(), [](const auto& c) { return !c->ended; });
+  };
+  ASSERT_TRUE(until([&] { return left() <= 12; }));
+  EXPECT_LE(gateway->clientConnections(), 12u);
+  ASSERT_GT(left(), 0);
+  Client& alive = **std::find_if(many.begin(), many.end(), [](const auto& c) { return !c->ended; });
+  alive.ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return alive.answers.size() == 1; }));
+  EXPECT_EQ(alive.answers[0].result_int(), 200u);
+}
+
+// --- The pool by itself
+// -------------------------------------------------------------------------------------
+
+struct PoolTest : ::testing::Test, UpstreamEvents {
+  asio::io_context io;
+  Clock clock;
+  bool wanted = true;
+  std::vector<std::pair<AttemptId, ridgeshift::Outcome>> outcomes;
+  std::optional<UpstreamRequest> compose(AttemptId id) override {
+    if (!wanted) return std::nullopt;
+    return UpstreamRequest{http::verb::get, "/" + std::to_string(id), 11};
+  }
+  void onOutcome(AttemptId id, ridgeshift::Outcome outcome, UpstreamAnswer&&) override {
+    outcomes.emplace_back(id, outcome);
+  }
+};
+
+// The wait for a connection may outlast the request or the host's place in the list.
+TEST_F(PoolTest, NothingIsWrittenOnceTheAttemptIsUnwanted) {
+  Server host(io, serveOk);
+  UpstreamPool pool(io, clock, {milliseconds(500), milliseconds(30000), 4}, *this);
+  pool.send(1, 0, host.endpoint());
+  wanted = false;
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  EXPECT_EQ(outcomes[0].second, ridgeshift::Outcome::connectFailed);
+  wanted = true;
+  pool.send(2, 0, host.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 2; }));
+  EXPECT_EQ(outcomes[1].second, ridgeshift::Outcome::served);
+  ASSERT_EQ(host.received.size(), 1u);
+  EXPECT_EQ(host.received[0].target(), "/2");
+  EXPECT_EQ(host.peers.size(), 1u);  // the connection opened for the first was kept
+}
+
+TEST_F(PoolTest, AttemptGivenUpWhileItWaitsNeverGoesOut) {
+  Server host(io, serveOk);
+  UpstreamPool pool(io, clock, {milliseconds(500), milliseconds(30000), 4}, *this);
+  pool.send(1, 0, host.endpoint());
+  EXPECT_FALSE(pool.giveUp(1));
+  pool.send(2, 0, host.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  EXPECT_EQ(outcomes[0].first, 2u);
+  ASSERT_EQ(host.received.size(), 1u);
+  EXPECT_EQ(host.received[0].target(), "/2");
+}
+
+TEST_F(PoolTest, ManyAtOnceOpenNoHerdOfConnections) {
+  Server host(io, hold);
+  UpstreamPool pool(io, clock, {milliseconds(500), milliseconds(30000), 4}, *this);
+  for (AttemptId id = 1; id <= 30; ++id) pool.send(id, 0, host.endpoint());
+  EXPECT_EQ(pool.opened(), 4u);
+  ASSERT_TRUE(runUntil(io, [&] { return host.received.size() == 30; }));
+  EXPECT_EQ(pool.opened(), 30u);  // all are busy: each needed one, and none was opened beside
+  EXPECT_TRUE(pool.giveUp(1));
+  EXPECT_EQ(pool.connections(), 29u);
+}
+
+TEST_F(PoolTest, ConnectThatNeverComesUpIsBounded) {
+  // A full accept queue that nobody empties: further connects stay unanswered.
+  tcp::acceptor deaf(io);
+  deaf.open(tcp::v4());
+  deaf.bind(loopback());
+  deaf.listen(0);
+  std::vector<tcp::socket> fill;
+  for (int i = 0; i < 4; ++i) {
+    fill.emplace_back(io);
+    fill.back().async_connect(deaf.local_endpoint(), [](error_code) {});
+  }
+  UpstreamPool pool(io, clock, {milliseconds(200), milliseconds(30000), 4}, *this);
+  for (AttemptId id = 1; id <= 6; ++id) pool.send(id, 0, deaf.local_endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 6; }));
+  for (const auto& [id, outcome] : outcomes) EXPECT_EQ(outcome, ridgeshift::Outcome::connectFailed) << id;
+  EXPECT_TRUE(runUntil(io, [&] { return pool.connections() == 0; }));
+}
+
+TEST_F(PoolTest, IdleConnectionsAreClosedInTime) {
+  Server host(io, serveOk);
+  UpstreamPool pool(io, clock, {milliseconds(500), milliseconds(1), 4}, *this);
+  pool.send(1, 0, host.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  EXPECT_EQ(pool.connections(), 1u);
+  ASSERT_TRUE(runUntil(io, [&] {
+    pool.sweep();
+    return host.peers[0]->ended;
+  }));
+  EXPECT_EQ(pool.connections(), 0u);
+}
+
+}  // namespace
+}  // namespace finchstile::testing
--- /dev/null
+++ b/tests/sockets.hpp
@@ -0,0 +1,194 @@
+// Hosts, discovery and clients for the gateway's tests: all on loopback, in the loop of the test, on ports
+// that the system gives out. No model of a server: each test says what a host answers.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "net/gateway.hpp"
+
+namespace finchstile::testing {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using nlohmann::json;
+
+inline tcp::endpoint loopback() { return {asio::ip::make_address("127.0.0.1"), 0}; }
+inline std::string text(const tcp::endpoint& e) {
+  return e.address().to_string() + ":" + std::to_string(e.port());
+}
+
+// Runs the loop until `reached` holds. The limit only ends a test that would hang.
+inline bool runUntil(asio::io_context& io, const std::function<bool()>& reached) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!reached()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+  return true;
+}
+
+// One accepted connection of a scripted server, with the requests read on it.
+struct Peer : std::enable_shared_from_this<Peer> {
+  explicit Peer(tcp::socket s) : socket(std::move(s)) {}
+  tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  std::optional<http::request_parser<http::string_body>> parser;
+  bool ended = false;  // the other side has closed it
+
+  void write(const std::string& bytes) { asio::write(socket, asio::buffer(bytes)); }
+  void reply(int status, const std::string& body, const std::string& headers = "") {
+    write("HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  void close() {
+    error_code ignored;
+    socket.close(ignored);
+  }
+};
+
+using Received = http::request<http::string_body>;
+
+class Server {
+ public:
+  using Handler = std::function<void(const std::shared_ptr<Peer>&, const Received&)>;
+
+  Server(asio::io_context& io, Handler h) : handler(std::move(h)), acceptor_(io, loopback()) { accept(); }
+  tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+
+  Handler handler;
+  std::vector<std::shared_ptr<Peer>> peers;
+  std::vector<Received> received;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](error_code error, tcp::socket s) {
+      if (error) return;
+      peers.push_back(std::make_shared<Peer>(std::move(s)));
+      read(peers.back());
+      accept();
+    });
+  }
+  void read(const std::shared_ptr<Peer>& peer) {
+    peer->parser.emplace();
+    peer->parser->body_limit(1 << 20);
+    http::async_read(peer->socket, peer->buffer, *peer->parser, [this, peer](error_code error, std::size_t) {
+      if (error) {
+        peer->ended = true;
+        return;
+      }
+      received.push_back(peer->parser->release());
+      handler(peer, Received(received.back()));
+      if (peer->socket.is_open()) read(peer);
+    });
+  }
+  tcp::acceptor acceptor_;
+};
+
+// A client connection that sends raw text and keeps the answers.
+class Client {
+ public:
+  Client(asio::io_context& io, const tcp::endpoint& to) : socket(io) {
+    socket.connect(to);
+    read();
+  }
+  void write(const std::string& bytes) { asio::write(socket, asio::buffer(bytes)); }
+  void ask(const std::string& method, const std::string& path, int leftMs, const std::string& body = "",
+           const std::string& headers = "") {
+    write(method + " " + path + " HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: id-1\r\nX-Time-Left-Ms: " +
+          std::to_string(leftMs) + "\r\n" + headers +
+          (method == "POST" ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : "") + "\r\n" +
+          body);
+  }
+  void close() {
+    error_code ignored;
+    socket.close(ignored);
+  }
+
+  tcp::socket socket;
+  std::vector<http::response<http::string_body>> answers;
+  bool ended = false;
+
+ private:
+  void read() {
+    parser_.emplace();
+    http::async_read(socket, buffer_, *parser_, [this](error_code error, std::size_t) {
+      if (error) {
+        ended = true;
+        return;
+      }
+      answers.push_back(parser_->release());
+      read();
+    });
+  }
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+};
+
+inline json settingsJson() {
+  const auto grade = [](const char* name, const char* effect, const char* group, double points) {
+    return json{{"name", name},        {"effect", effect}, {"group", group},
+                {"aimNs", 3000000000}, {"points", points}, {"giveUpNs", 3000000000},
+                {"stream", false},     {"lateShare", 0.0}, {"windowNs", 2000000000}};
+  };
+  return {{"ceilings",
+           {{"cancel", true},
+            {"connectTimeoutNs", 500000000},
+            {"idleCloseNs", 60000000000},
+            {"maxAttempts", 3},
+            {"maxRetryAfterNs", 1000000000},
+            {"retryAfter", false},
+            {"probes", false},
+            {"peers", false}}},
+          {"domain", {{"warmKeys", false}}},
+          {"grades",
+           {grade("read", "retryable", "all", 12.0), grade("book", "fragile", "all", 1.0),
+            grade("put", "dedup", "zone", 1.0)}},
+          {"groupSize", 1},
+          {"myNumber", 0},
+          {"overShareWorth", 0.1},
+          {"registryMode", "ask"},
+          {"rules",
+           {{"askWithinNs", 10000000000},
+            {"coldNs", 9000000000},
+            {"coldShare", 0.32},
+            {"drainGraceNs", 500000000},
+            {"fallMultiple", 3.0},
+            {"fallNs", 2000000000}}},
+          {"stepNs", 5000000},
+          {"tenants", json::array()},
+          {"zone", "east"}};
+}
+
+inline json hostJson(const std::string& name, const tcp::endpoint& at, const std::string& status = "active",
+                     std::int64_t sinceMs = 0) {
+  return {{"name", name}, {"address", text(at)}, {"zone", "east"}, {"type", "std"},
+          {"group", 0},   {"status", status},    {"weight", 1.0},  {"since_ms", sinceMs}};
+}
+
+inline json listJson(int index, bool whole, const json& hosts) {
+  return {{"index", index}, {"snapshot", whole}, {"endpoints", hosts}};
+}
+
+inline json configJson(const tcp::endpoint& discovery, const json& hosts) {
+  return {{"name", "n0"},
+          {"listen", "127.0.0.1:0"},
+          {"discovery", text(discovery)},
+          {"seed", "92094eb940cf389a"},
+          {"limits", {{"sockets", 256}}},
+          {"known", listJson(1, true, hosts)},
+          {"settings", settingsJson()}};
+}
+
+}  // namespace finchstile::testing
