Connections: a limit in all, and none kept for an address that changed

Cause: read in the code and shown by two new tests: busy clients and their attempts could together pass the limit on descriptors (614 + as many), and a connection opened to a host's old address could be reused after a list gave a new one.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -26,9 +26,10 @@
 constexpr Duration kExitAfterLongest = milliseconds(600);
 constexpr Duration kWatchMost = seconds(20);
 constexpr Duration kSilence = milliseconds(1500);
-constexpr double kIdleShare = 0.5;    // of the host's idle limit: a close must never cross a request
-constexpr double kClientShare = 0.6;  // of the descriptors
-constexpr double kUpstreamShare = 0.3;
+constexpr double kIdleShare = 0.5;      // of the host's idle limit: a close must never cross a request
+constexpr std::size_t kConnecting = 4;  // to one host at once: each costs it as much as a small request
+constexpr double kClientShare = 0.5;    // of the descriptors
+constexpr double kUpstreamShare = 0.45;
 constexpr double kLagFade = 0.98;  // per timer: the worst lateness is remembered for some seconds
 
 template <class Number>
@@ -91,7 +92,10 @@
       config_(std::move(config)),
       balancer_(config_.settings, clock.now()),
       listener_(io, clock, config_.listen, share(config_.sockets, kClientShare), *this),
-      pool_(io, clock, {config_.connectTimeout, part(config_.idleClose, kIdleShare), 4}, *this),
+      pool_(io, clock,
+            {config_.connectTimeout, part(config_.idleClose, kIdleShare), kConnecting,
+             share(config_.sockets, kUpstreamShare)},
+            *this),
       discovery_(io, clock, config_.discovery, {watchWait(config_.settings), kSilence}, config_.known.index,
                  *this),
       timer_(io) {
@@ -385,8 +389,6 @@
   housekeepAt_ = now + (draining_ ? kHousekeepDrain : kHousekeep);
   listener_.sweep();
   pool_.sweep();
-  while (pool_.connections() > share(config_.sockets, kUpstreamShare) && pool_.shedIdle()) {
-  }
   if (!config_.settings.askDiscovery && !draining_) discovery_.watch();
   if (!draining_ || now < closeListenerAt_) return;
   listener_.close();
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -45,9 +45,11 @@
   // No destructor that touches the pool: pending handlers may keep a connection alive beyond it.
 
   const HostId host;
+  tcp::endpoint endpoint;
   Time idleSince{};
 
-  void connect(const tcp::endpoint& endpoint) {
+  void connect(const tcp::endpoint& to) {
+    endpoint = to;
     const auto self = shared_from_this();
     timer_.expires_after(pool_.limits_.connectTimeout);
     timer_.async_wait([this, self](error_code stopped) {
@@ -177,13 +179,12 @@
 void UpstreamPool::send(AttemptId id, HostId host, const tcp::endpoint& endpoint) {
   Attempt& a = attempts_[id];
   a.host = host;
-  a.endpoint = endpoint;
-  a.since = clock_.now();
   Upstream& u = upstreams_[host];
+  u.endpoint = endpoint;
   while (!u.idle.empty()) {
     const auto connection = u.idle.back();
     u.idle.pop_back();
-    if (!connection->alive()) {
+    if (!connection->alive() || connection->endpoint != endpoint) {
       connection->close();
       continue;
     }
@@ -214,6 +215,10 @@
 
 void UpstreamPool::assign(const std::shared_ptr<Connection>& connection) {
   Upstream& u = upstreams_[connection->host];
+  if (connection->endpoint != u.endpoint) {  // danger: the old address may be another host's by now
+    connection->close();
+    return connectMore(connection->host);
+  }
   while (!u.waiting.empty()) {
     const AttemptId id = u.waiting.front();
     u.waiting.pop_front();
@@ -229,9 +234,10 @@
   Upstream& u = upstreams_[host];
   // Danger: a connection costs the host real work; never more than attempts wait for, nor many at once.
   while (u.connecting.size() < std::min(u.waiting.size(), limits_.connecting)) {
+    if (connections_ >= limits_.most && !shedIdle()) return;  // without descriptors nobody is answered
     const auto connection = std::make_shared<Connection>(*this, host);
     u.connecting.push_back(connection);
-    connection->connect(attempts_[u.waiting.back()].endpoint);
+    connection->connect(u.endpoint);
   }
 }
 
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -40,6 +40,7 @@
     Duration connectTimeout{};
     Duration idleMost{};         // idle connections are closed after this
     std::size_t connecting = 4;  // connections being opened to one host at once
+    std::size_t most = 256;      // connections in all
   };
 
   UpstreamPool(boost::asio::io_context& io, const Clock& clock, Limits limits, UpstreamEvents& events);
@@ -61,13 +62,12 @@
     std::vector<std::shared_ptr<Connection>> idle;  // the most recently used last
     std::deque<AttemptId> waiting;                  // attempts that have no connection yet
     std::vector<std::shared_ptr<Connection>> connecting;
+    tcp::endpoint endpoint;
     bool open = true;
   };
   struct Attempt {
     ridgeshift::HostId host = ridgeshift::kNone;
     std::shared_ptr<Connection> connection;  // null while it waits
-    tcp::endpoint endpoint;
-    Time since{};
   };
 
   void assign(const std::shared_ptr<Connection>& connection);  // a waiting attempt, or idle
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -382,8 +382,8 @@
   const auto left = [&] {
     return std::count_if(many.begin(), many.end(), [](const auto& c) { return !c->ended; });
   };
-  ASSERT_TRUE(until([&] { return left() <= 12; }));
-  EXPECT_LE(gateway->clientConnections(), 12u);
+  ASSERT_TRUE(until([&] { return left() <= 10; }));
+  EXPECT_LE(gateway->clientConnections(), 10u);
   ASSERT_GT(left(), 0);
   Client& alive = **std::find_if(many.begin(), many.end(), [](const auto& c) { return !c->ended; });
   alive.ask("GET", "/read", 2500);
@@ -466,6 +466,32 @@
   EXPECT_TRUE(runUntil(io, [&] { return pool.connections() == 0; }));
 }
 
+TEST_F(PoolTest, ConnectionsStayWithinTheLimitAndIdleOnesMakeRoom) {
+  Server one(io, serveOk), two(io, hold);
+  UpstreamPool pool(io, clock, {milliseconds(200), milliseconds(30000), 4, 2}, *this);
+  pool.send(1, 0, one.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  for (AttemptId id = 2; id <= 5; ++id) pool.send(id, 1, two.endpoint());
+  EXPECT_EQ(pool.connections(), 2u);
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 3 && two.received.size() == 2; }));
+  EXPECT_EQ(outcomes[1].second, ridgeshift::Outcome::connectFailed);
+  EXPECT_EQ(outcomes[2].second, ridgeshift::Outcome::connectFailed);
+  EXPECT_EQ(pool.connections(), 2u);
+  EXPECT_TRUE(runUntil(io, [&] { return one.peers[0]->ended; }));
+}
+
+TEST_F(PoolTest, ConnectionsToAnOldAddressAreNotUsedForTheNewOne) {
+  Server before(io, serveOk), after(io, serveOk);
+  UpstreamPool pool(io, clock, {milliseconds(500), milliseconds(30000), 4}, *this);
+  pool.send(1, 0, before.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  pool.send(2, 0, after.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 2; }));
+  EXPECT_EQ(before.received.size(), 1u);
+  EXPECT_EQ(after.received.size(), 1u);
+  EXPECT_EQ(pool.connections(), 1u);
+}
+
 TEST_F(PoolTest, IdleConnectionsAreClosedInTime) {
   Server host(io, serveOk);
   UpstreamPool pool(io, clock, {milliseconds(500), milliseconds(1), 4}, *this);
