--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -21,7 +21,8 @@
 constexpr Duration kIdleMost = seconds(120);  // longer than clients and fronts keep a connection unused
 constexpr Duration kSlowMost = seconds(10);   // danger: a client that dribbles holds a descriptor
 constexpr Duration kLingerMost = seconds(2);  // for the rest of a body that was refused
-constexpr Duration kAcceptPause = milliseconds(20);  // after a failed accept: out of descriptors, mostly
+constexpr Duration kLingerDrain = milliseconds(200);  // the same while draining: it must not hold up the end
+constexpr Duration kAcceptPause = milliseconds(20);   // after a failed accept: out of descriptors, mostly
 
 }  // namespace
 
@@ -79,7 +80,7 @@
     using S = ClientSession::State;
     const Duration age = now - s->since_;
     if ((s->state_ == S::reading || s->state_ == S::writing) && age > kSlowMost) late.push_back(s);
-    if (s->state_ == S::lingering && age > kLingerMost) late.push_back(s);
+    if (s->state_ == S::lingering && age > (draining_ ? kLingerDrain : kLingerMost)) late.push_back(s);
     if (s->state_ == S::idle && (age > kIdleMost || (draining_ && !acceptor_.is_open()))) idle.push_back(s);
   }
   for (const auto& s : late) s->close();
