Upstream: the hold of a last byte goes by the time of the connect

The kernel's smoothed round trip on a kept connection counts late acknowledgements, so the hold stood at its most, 20 ms. The connect is one round trip and nothing else.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -1,7 +1,5 @@
 #include "net/upstream.hpp"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -23,13 +21,12 @@
 using ridgeshift::HostId;
 using ridgeshift::Outcome;
 
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 constexpr int kInterimMost = 8;  // 1xx answers ahead of one final answer
 
-// How long a last byte is held back: round trips as the kernel measured them, the second for what the other
-// side takes to notice; at most a small part of an aim, should a queue on the way have spoilt the measure.
+// How long a last byte is held back: round trips as the connect took one, the second for what the other side
+// takes to notice; at most a small part of an aim, should a queue or a pause of ours have spoilt the measure.
 constexpr int kProofTrips = 2;
 constexpr Duration kProofMost = milliseconds(20);
 
@@ -63,13 +60,15 @@
 
   void connect(const tcp::endpoint& to) {
     endpoint = to;
+    const Time begun = pool_.clock_.now();
     const auto self = shared_from_this();
     timer_.expires_after(pool_.limits_.connectTimeout);
     timer_.async_wait([this, self](error_code stopped) {
       if (!stopped && !closed_ && connecting_) ended(false);
     });
-    socket_.async_connect(endpoint, [this, self](error_code error) {
+    socket_.async_connect(endpoint, [this, self, begun](error_code error) {
       if (closed_ || !connecting_) return;
+      roundTrip_ = pool_.clock_.now() - begun;
       error_code ignored;
       if (!error) socket_.set_option(tcp::no_delay(true), ignored);
       ended(!error);
@@ -160,12 +159,9 @@
     });
   }
 
-  Duration proofTime() {
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) info.tcpi_rtt = 0;
-    return std::max(pool_.limits_.proofLeast,
-                    std::min<Duration>(kProofTrips * microseconds(info.tcpi_rtt), kProofMost));
+  // Danger: the kernel's own measure counts late acknowledgements, tens of milliseconds, as round trips.
+  Duration proofTime() const {
+    return std::max(pool_.limits_.proofLeast, std::min(kProofTrips * roundTrip_, kProofMost));
   }
 
   void read() {
@@ -250,6 +246,7 @@
   MessageReader<false> reader_;
   std::string request_;       // until its last byte is written
   bool lastByteOut_ = false;  // or handed over to be
+  Duration roundTrip_{};
   AttemptId attempt_ = 0;
   int interims_ = 0;
   bool closed_ = false, connecting_ = true, watching_ = false;
