Operators' address: figures, hosts out by hand, clients sent away, a listener taken over

The second process ended, since it could not listen where the first does; nobody answered at the operators' address, so a drain was never heard of. Change: src/ops (calls, hosts out by hand, figures: no I/O; the address for them; a file that processes of one gateway share), app/ops_desk, a filter between list and module, Listener::sendAway, a listening socket that is inherited. A host that comes back by hand counts as just started. The module says which hosts it avoids.

--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -175,6 +175,7 @@
   HostId findHost(std::string_view address) const;  // kNone if no list has named it
   bool knows(HostId host) const;                    // a host is forgotten once it is gone and nothing
                                                     // of it is open
+  bool avoids(HostId host) const;                   // known, and by choice it gets nothing new now
   const std::string& address(HostId host) const;    // throws std::out_of_range
   double cutoff() const;                            // 0 to 100: scores below it are refused now
   std::size_t openRequests() const;                 // requests and attempts not yet over
--- /dev/null
+++ b/src/app/ops_desk.cpp
@@ -0,0 +1,108 @@
+#include "app/ops_desk.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "ops/call.hpp"
+
+namespace finchstile {
+namespace {
+
+using std::chrono::milliseconds;
+
+// What another process of this gateway was told takes effect within this and a look at a small file.
+constexpr milliseconds kLook(100);
+
+}  // namespace
+
+OpsDesk::OpsDesk(boost::asio::io_context& io, const Clock& clock, const Config& c, const std::string& file,
+                 Gateway& gateway)
+    : clock_(clock),
+      keep_(c.settings.coldTime),
+      gateway_(gateway),
+      file_(file),
+      timer_(io),
+      server_(io, c.ops.value(), *this, {}) {
+  refresh();
+  gateway_.setHostFilter(*this);
+  waitToLook();
+}
+
+// True if another process has said something else than stands here.
+bool OpsDesk::refresh() {
+  if (file_.path().empty()) return false;
+  const auto text = file_.readIfChanged();
+  if (!text) return false;
+  if (out_.decode(*text, clock_.now())) return true;
+  std::fprintf(stderr, "ops: %s is not whole or not ours; what is out by hand stays as it was\n",
+               file_.path().c_str());
+  return false;
+}
+
+void OpsDesk::waitToLook() {
+  timer_.expires_after(kLook);
+  timer_.async_wait([this](const boost::system::error_code& stopped) {
+    if (stopped) return;
+    if (refresh()) gateway_.refilter();
+    out_.expire(clock_.now(), keep_);
+    waitToLook();
+  });
+}
+
+ops::Reply OpsDesk::onCall(const ops::Call& call) {
+  switch (call.kind) {
+    case ops::CallKind::ready:
+      if (gateway_.ready() && (!ready || ready())) return {200, "ready\n"};
+      return {503, "not ready\n"};
+    case ops::CallKind::telemetry: return {200, ops::exposition(gateway_.figures(), config)};
+    case ops::CallKind::exclude: return takeOut(call.host);
+    case ops::CallKind::include: return putBack(call.host);
+    case ops::CallKind::evacuate:
+      gateway_.sendAway();
+      std::fprintf(stderr, "ops: clients are sent away\n");
+      return {200, "done\n"};
+    case ops::CallKind::rejoin:
+      gateway_.takeBack();
+      std::fprintf(stderr, "ops: clients are taken again\n");
+      return {200, "done\n"};
+  }
+  return {500, ""};
+}
+
+ops::Reply OpsDesk::takeOut(const std::string& host) {
+  refresh();
+  if (!gateway_.lists(host) && !out_.knows(host)) return {404, "no such host in the list\n"};
+  if (!out_.takeOut(host)) return {507, "too many hosts are out by hand\n"};
+  gateway_.refilter();
+  std::fprintf(stderr, "ops: host %s is out by hand\n", host.c_str());
+  // Danger: a yes that the next process does not know of would be broken by it.
+  if (!file_.path().empty() && !file_.write(out_.encode())) {
+    std::fprintf(stderr, "ops: %s can not be written\n", file_.path().c_str());
+    return {500, "out in this process; the next would not know: the file can not be written\n"};
+  }
+  return {200, "done\n"};
+}
+
+ops::Reply OpsDesk::putBack(const std::string& host) {
+  refresh();
+  if (!gateway_.lists(host) && !out_.knows(host)) return {404, "no such host in the list\n"};
+  if (!out_.isOut(host)) return {200, "was not out\n"};
+  out_.putBack(host, clock_.now());
+  gateway_.refilter();
+  std::fprintf(stderr, "ops: host %s is put back\n", host.c_str());
+  if (!file_.path().empty() && !file_.write(out_.encode())) {
+    std::fprintf(stderr, "ops: %s can not be written\n", file_.path().c_str());
+    return {500, "back in this process; the next would not know: the file can not be written\n"};
+  }
+  return {200, "done\n"};
+}
+
+std::string opsFile(const std::string& name) {
+  const char* folder = std::getenv("TMPDIR");
+  if (!folder || !*folder) return {};
+  std::string plain;
+  for (const char c : name) plain += c == '/' ? '_' : c;
+  return std::string(folder) + "/finchstile-" + plain + ".out";
+}
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/app/ops_desk.hpp
@@ -0,0 +1,51 @@
+// The operators' calls, carried out on the gateway: what was said by hand goes to the gateway as a filter of
+// its list, and into a file that the next process of this gateway reads before it serves.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/clock.hpp"
+#include "net/config.hpp"
+#include "net/gateway.hpp"
+#include "ops/exposition.hpp"
+#include "ops/hand_out.hpp"
+#include "ops/server.hpp"
+#include "ops/state_file.hpp"
+
+namespace finchstile {
+
+class OpsDesk : ops::CallEvents, HostFilter {
+ public:
+  // `file`: where hosts out by hand are written down; empty: nowhere.
+  OpsDesk(boost::asio::io_context& io, const Clock& clock, const Config& config, const std::string& file,
+          Gateway& gateway);
+
+  ops::ConfigFigures config;  // counted by whoever reads configurations
+  // Whether the process is ready to serve, if more than the gateway's own view counts.
+  std::function<bool()> ready;
+
+ private:
+  ops::Reply onCall(const ops::Call& call) override;
+  void apply(ridgeshift::HostEntry& entry) const override { out_.apply(entry); }
+  ops::Reply takeOut(const std::string& host);
+  ops::Reply putBack(const std::string& host);
+  bool refresh();
+  void waitToLook();
+
+  const Clock& clock_;
+  const Duration keep_;  // how long a host is cold at the most
+  Gateway& gateway_;
+  ops::HandOut out_;
+  ops::StateFile file_;
+  boost::asio::steady_timer timer_;
+  ops::Server server_;
+};
+
+// The file of a gateway's processes in the folder that they share, named after it; empty if there is none.
+std::string opsFile(const std::string& name);
+
+}  // namespace finchstile
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -4,13 +4,16 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <charconv>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -18,6 +21,7 @@
 #include "app/key_log.hpp"
 #include "app/key_owners.hpp"
 #include "app/operator_file.hpp"
+#include "app/ops_desk.hpp"
 #include "hook/files.hpp"
 #include "hook/stage.hpp"
 #include "idempotency/stage.hpp"
@@ -45,6 +49,14 @@
   std::fprintf(stderr, "%.*s\n", static_cast<int>(line.size()), line.data());
 }
 
+int readDescriptor(const std::string& text) {
+  int fd = -1;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), fd);
+  if (error != std::errc{} || end != text.data() + text.size() || fd < 0)
+    throw std::runtime_error("LB_INHERITED_FD is '" + text + "', not the number of a descriptor");
+  return fd;
+}
+
 class Program {
  public:
   explicit Program(const RunOptions& options)
@@ -64,6 +76,7 @@
     waitForSignal();
     if (built_.hooks) takeHooks();
     attachIdempotency();
+    if (config_.ops) desk_ = std::make_unique<OpsDesk>(io_, clock_, config_, opsFile(config_.name), gateway_);
     gateway_.start();
     io_.run();
   }
@@ -72,6 +85,7 @@
   Config configured() const {
     Config c = loadConfig(options_.config, clock_);
     c.tuning = built_.file.tuning;
+    if (const char* fd = std::getenv("LB_INHERITED_FD"); fd && *fd) c.inheritedListener = readDescriptor(fd);
     return c;
   }
 
@@ -89,7 +103,9 @@
   void reload() {
     try {
       gateway_.reload(loadConfig(options_.config, clock_));
+      if (desk_) ++desk_->config.loaded;
     } catch (const std::exception& bad) {
+      if (desk_) ++desk_->config.invalid;
       std::fprintf(stderr, "finchstile: not reloaded: %s\n", bad.what());
     }
     if (!options_.operatorFile.empty()) reloadOperator();
@@ -185,6 +201,7 @@
   std::unique_ptr<KeyLog> keyLog_;
   std::unique_ptr<KeyOwners> keyOwners_;
   Gateway gateway_;
+  std::unique_ptr<OpsDesk> desk_;
   bool attached_ = false;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer report_;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -1,11 +1,13 @@
 #include "net/client.hpp"
 
+#include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <cstdio>
+#include <stdexcept>
 
 namespace finchstile {
 namespace {
@@ -32,16 +34,45 @@
 // --- Listener
 // -----------------------------------------------------------------------------------------------
 
-Listener::Listener(asio::io_context& io, const Clock& clock, const tcp::endpoint& at, std::size_t most,
-                   const ClientTuning& tuning, ClientEvents& events)
-    : io_(io), clock_(clock), most_(most), tuning_(tuning), events_(events), acceptor_(io), pause_(io) {
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
-  acceptor_.listen(asio::socket_base::max_listen_connections);
+Listener::Listener(asio::io_context& io, const Clock& clock, const tcp::endpoint& at, int inherited,
+                   std::size_t most, const ClientTuning& tuning, ClientEvents& events)
+    : io_(io),
+      clock_(clock),
+      most_(most),
+      tuning_(tuning),
+      events_(events),
+      acceptor_(io),
+      pause_(io),
+      inherited_(inherited >= 0) {
+  if (inherited_) {
+    adopt(at, inherited);
+  } else {
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen(asio::socket_base::max_listen_connections);
+  }
   acceptor_.non_blocking(true);
 }
 
+// Danger: another descriptor under that number, a file of ours or a socket of somebody else's, would be taken
+// for the clients' door.
+void Listener::adopt(const tcp::endpoint& at, int fd) {
+  const auto fail = [fd](const std::string& what) {
+    throw std::runtime_error("the inherited descriptor " + std::to_string(fd) + " " + what);
+  };
+  int listening = 0;
+  socklen_t size = sizeof listening;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) != 0 || listening == 0)
+    fail("is no listening socket");
+  ::fcntl(fd, F_SETFD, FD_CLOEXEC);
+  error_code error;
+  acceptor_.assign(at.protocol(), fd, error);
+  if (error) fail("can't be used: " + error.message());
+  const tcp::endpoint found = acceptor_.local_endpoint(error);
+  if (error || (at.port() != 0 && found != at)) fail("does not listen at the address that is configured");
+}
+
 void Listener::accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
@@ -113,7 +144,7 @@
     case State::reading: return tuning_.request;
     case State::idle: return tuning_.idle;
     case State::writing: return tuning_.write;
-    case State::lingering: return draining_ ? kLingerDrain : kLingerMost;
+    case State::lingering: return draining() ? kLingerDrain : kLingerMost;
     default: return Duration::max();
   }
 }
@@ -131,18 +162,21 @@
     for (auto it = in(state).begin(); it != in(state).end();) act(**it++);
   };
   each(State::waiting, [](ClientSession& s) { s.lookForEnd(); });
-  if (!draining_ || acceptor_.is_open()) return;
+  const bool ending = draining_ && !acceptor_.is_open();
+  if (away_ != Time{} ? clock_.now() < away_ : !ending) return;
   each(State::idle, [](ClientSession& s) { s.closeIdle(); });
-  each(State::fresh, [](ClientSession& s) {
-    if (!s.begun_) s.closeIdle();
+  each(State::fresh, [ending](ClientSession& s) {
+    // Danger: while clients are sent away one that has just connected may be about to ask.
+    if (!s.begun_ && (ending || s.listener_.clock_.now() - s.since_ > kUnderWay)) s.closeIdle();
   });
 }
 
 void Listener::close() {
   draining_ = true;
   if (!acceptor_.is_open()) return;
-  // Danger: what the kernel has accepted for us is taken; closing the listener would reset it unanswered.
-  for (error_code error; !error;) {
+  // Danger: what the kernel has accepted for us is taken; closing the listener would reset it unanswered. One
+  // that was inherited stays open elsewhere, and the next process takes what waits there.
+  for (error_code error; !error && !inherited_;) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (!error) take(std::move(socket));
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -49,19 +49,24 @@
 
 class Listener {
  public:
-  // Holds `most` client connections at the most.
-  Listener(boost::asio::io_context& io, const Clock& clock, const tcp::endpoint& at, std::size_t most,
-           const ClientTuning& tuning, ClientEvents& events);
+  // Holds `most` client connections at the most. `inherited`: the descriptor of a socket that listens at `at`
+  // already and that other processes share, or below 0; throws std::runtime_error if it is no such thing.
+  Listener(boost::asio::io_context& io, const Clock& clock, const tcp::endpoint& at, int inherited,
+           std::size_t most, const ClientTuning& tuning, ClientEvents& events);
 
   void tune(const ClientTuning& tuning) { tuning_ = tuning; }
   tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
   void start() { accept(); }
-  void sweep();     // ends what is slow or idle for too long; to be called a few times a second
+  void sweep();  // ends what is slow or idle for too long; to be called a few times a second
+  bool inherited() const { return inherited_; }
   bool shedIdle();  // gives a descriptor back, from a connection that has nothing under way, if there is one
 
   void beginDrain() { draining_ = true; }  // answers say `Connection: close` from here on
-  void close();                            // takes in what waits in the accept queue, then stops accepting
-  bool draining() const { return draining_; }
+  // The same, and connections at rest are closed from `restEnds` on; accepts as before. `takeBack` ends it.
+  void sendAway(Time restEnds) { away_ = restEnds; }
+  void takeBack() { away_ = Time{}; }
+  void close();  // takes in what waits in the accept queue, then stops accepting
+  bool draining() const { return draining_ || away_ != Time{}; }
   std::size_t size() const { return size_; }
 
  private:
@@ -70,6 +75,7 @@
   enum class State { fresh, idle, reading, waiting, writing, lingering, closed };
   using Sessions = std::list<std::shared_ptr<ClientSession>>;
 
+  void adopt(const tcp::endpoint& at, int fd);
   void accept();
   void take(tcp::socket socket);
   void turnAway(tcp::socket socket);
@@ -88,7 +94,9 @@
   boost::asio::steady_timer pause_;
   std::array<Sessions, 6> sessions_;  // by state, in the order in which they entered it
   std::size_t size_ = 0;
+  const bool inherited_;
   bool draining_ = false;
+  Time away_{};  // clients are sent away, and none may rest from then on; 0: they are not
 };
 
 // One client connection. It passes a request on only when the one before has been answered.
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -107,6 +107,8 @@
   c.name = all.value("name", "gateway");
   c.listen = readEndpoint(all.at("listen").get<std::string>());
   c.discovery = readEndpoint(all.at("discovery").get<std::string>());
+  if (const auto ops = all.find("ops"); ops != all.end() && !ops->is_null())
+    c.ops = readEndpoint(ops->get<std::string>());
   if (const auto limits = all.find("limits"); limits != all.end())
     c.sockets = limits->value("sockets", c.sockets);
   eachLeaf(settings, "", [&](const std::string& path, const std::string& value) {
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,8 @@
 struct Config {
   std::string name;
   tcp::endpoint listen, discovery;
+  std::optional<tcp::endpoint> ops;  // where operators call; none: nowhere
+  int inheritedListener = -1;  // descriptor that listens at `listen` already; below 0: none. Not in the file
   std::size_t sockets = 1024;  // descriptors that the process may hold
   ridgeshift::Settings settings;
   ridgeshift::Duration connectTimeout{}, idleClose{};
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -22,6 +22,9 @@
 constexpr Duration kHousekeep = milliseconds(250);
 constexpr Duration kHousekeepDrain = milliseconds(20);
 constexpr Duration kAcceptAfterStop = milliseconds(600);  // fronts go on sending for a while
+// The front notices, and clients that use their connections once more learn of it from the answer. Beyond
+// this a connection at rest is closed.
+constexpr Duration kRestAfterAway = milliseconds(1200);
 constexpr Duration kExitAfterLongest = milliseconds(600);
 constexpr Duration kWatchMost = seconds(20);
 constexpr Duration kSilence = milliseconds(1500);
@@ -60,8 +63,8 @@
       clock_(clock),
       config_(std::move(config)),
       balancer_(config_.settings, clock.now()),
-      listener_(io, clock, config_.listen, share(config_.sockets, config_.tuning.clientShare),
-                config_.tuning.clients, *this),
+      listener_(io, clock, config_.listen, config_.inheritedListener,
+                share(config_.sockets, config_.tuning.clientShare), config_.tuning.clients, *this),
       pool_(io, clock,
             {config_.connectTimeout, answerMost(config_), part(config_.idleClose, kIdleShare),
              config_.tuning.connecting, share(config_.sockets, config_.tuning.upstreamShare),
@@ -70,7 +73,9 @@
       discovery_(io, clock, config_.discovery, {watchWait(config_.settings), kSilence}, config_.known.index,
                  *this),
       timer_(io),
-      reader_(config_.settings) {}
+      reader_(config_.settings) {
+  for (const auto& c : config_.settings.classes) counts_.push_back({c.name});
+}
 
 void Gateway::start() {
   housekeepAt_ = clock_.now() + kHousekeep;
@@ -93,10 +98,26 @@
   listener_.beginDrain();
   housekeepAt_ = clock_.now();
   closeListenerAt_ = clock_.now() + kAcceptAfterStop;
+  if (listener_.inherited()) {  // who shares it takes what comes there from now on
+    listener_.close();
+    listener_.sendAway(clock_.now() + kRestAfterAway);
+  }
   exitAt_ = clock_.now() + longestGiveUp(config_.settings) + kExitAfterLongest;
   armTimer();
 }
 
+bool Gateway::ready() const { return !draining_ && !away_ && !hosts_.empty(); }
+
+void Gateway::sendAway() {
+  if (std::exchange(away_, true) || draining_) return;
+  listener_.sendAway(clock_.now() + kRestAfterAway);
+}
+
+void Gateway::takeBack() {
+  if (!std::exchange(away_, false) || draining_) return;
+  listener_.takeBack();
+}
+
 // --- Clients
 // ------------------------------------------------------------------------------------------------
 
@@ -105,8 +126,7 @@
   if (target == "/health/live") {
     session.answer(plainAnswer(http::status::ok));
   } else if (target == "/health/ready") {
-    const bool ready = !draining_ && !hosts_.empty();
-    session.answer(plainAnswer(ready ? http::status::ok : http::status::service_unavailable));
+    session.answer(plainAnswer(ready() ? http::status::ok : http::status::service_unavailable));
   } else {
     return false;
   }
@@ -131,6 +151,7 @@
   RequestRecord& r = requests_[q.id];
   r.client = session;
   r.message = std::make_shared<const ClientRequest>(std::move(message));
+  r.classIndex = q.classIndex;
   session->setRequest(q.id);
   Arrival arrival;
   if (!stages_.empty()) {
@@ -240,12 +261,34 @@
         *x, {static_cast<unsigned>(a.status), byHost, from ? &from->head : nullptr, a.contentType, a.body},
         a.headers);
   it->second.ended = true;
+  count(it->second, a.status);
   if (const auto client = it->second.client.lock()) client->answer(std::move(a));
   if (x) stages_.answerDone(*x);
   end(id, it->second, how);
   releaseIfOver(id);
 }
 
+void Gateway::count(const RequestRecord& r, http::status status) {
+  ClassFigures& c = counts_[r.classIndex];
+  if (status == http::status::ok) ++c.answered;
+  else if (status == http::status::service_unavailable || status == http::status::too_many_requests)
+    ++c.deferred;
+  else ++c.errored;
+}
+
+GatewayFigures Gateway::figures() const {
+  GatewayFigures f;
+  f.classes = counts_;
+  f.sends = pool_.sends();
+  for (const auto& [id, r] : requests_) f.current += !r.ended;
+  for (const auto& [id, h] : hosts_) {
+    if (h.listed.phase == Phase::out) continue;
+    ++f.listed;
+    f.avoided += h.phase != Phase::in || balancer_.avoids(id);
+  }
+  return f;
+}
+
 // What its client is owed has been given, or nobody waits for it any more.
 void Gateway::end(RequestId id, RequestRecord& r, RequestEnd how) {
   letGo(id, r);
@@ -364,7 +407,7 @@
 
 void Gateway::learnHosts(const HostList& list, ListKind kind) {
   std::vector<ridgeshift::HostEntry> entries;
-  for (const ListedHost& h : list.hosts) entries.push_back(h.entry);
+  for (const ListedHost& h : list.hosts) entries.push_back(inForce(h.entry));
   balancer_.onHosts(clock_.now(), kind, entries);
   std::vector<HostId> named;
   for (const ListedHost& h : list.hosts) {
@@ -373,7 +416,7 @@
     HostRecord& record = hosts_[id];
     // Danger: connections to an old address would be taken for ones to the new.
     if (record.endpoint != h.endpoint) pool_.setOpen(id, false);
-    record = {h.endpoint, h.entry.phase, h.entry.zone, h.entry.cell};
+    record = {h.endpoint, inForce(h.entry).phase, h.entry, h.entry.zone, h.entry.cell};
     named.push_back(id);
   }
   std::sort(named.begin(), named.end());
@@ -381,12 +424,32 @@
     // What a whole list leaves out is gone, and so is what the module has forgotten.
     if (!balancer_.knows(id) ||
         (kind != ListKind::update && !std::binary_search(named.begin(), named.end(), id)))
-      record.phase = Phase::out;
+      record.phase = record.listed.phase = Phase::out;
     pool_.setOpen(id, record.phase == Phase::in);
   }
   carryOut();
 }
 
+ridgeshift::HostEntry Gateway::inForce(const ridgeshift::HostEntry& listed) const {
+  ridgeshift::HostEntry entry = listed;
+  if (filter_) filter_->apply(entry);
+  return entry;
+}
+
+// The list as it stands, told again: what the filter has changed since shows as a change of the list.
+void Gateway::refilter() {
+  HostList list;
+  for (const auto& [id, h] : hosts_)
+    if (h.listed.phase != Phase::out) list.hosts.push_back({h.listed, h.endpoint});
+  learnHosts(list, ListKind::update);
+}
+
+bool Gateway::lists(const std::string& host) const {
+  const HostId id = balancer_.findHost(host);
+  const auto it = id == kNone ? hosts_.end() : hosts_.find(id);
+  return it != hosts_.end() && it->second.listed.phase != Phase::out;
+}
+
 void Gateway::onHostList(HostList&& list) {
   learnHosts(list, list.whole ? ListKind::replace : ListKind::update);
 }
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -20,6 +20,7 @@
 #include "net/clock.hpp"
 #include "net/config.hpp"
 #include "net/discovery.hpp"
+#include "net/figures.hpp"
 #include "net/request.hpp"
 #include "net/stage.hpp"
 #include "net/upstream.hpp"
@@ -27,6 +28,13 @@
 
 namespace finchstile {
 
+// What stands of an entry of the list: a seam for whoever may take hosts out beside the list.
+class HostFilter {
+ public:
+  virtual ~HostFilter() = default;
+  virtual void apply(ridgeshift::HostEntry& entry) const = 0;
+};
+
 class Gateway : ClientEvents, UpstreamEvents, DiscoveryEvents, StageHost {
  public:
   Gateway(boost::asio::io_context& io, const Clock& clock, Config config);
@@ -38,6 +46,16 @@
   // Goes over to the discovery that `next` names; hosts, requests and connections stay as they are. All else
   // in it takes effect at the next start.
   void reload(const Config& next);
+  // Must outlive the gateway. `refilter` when it would say something else than before.
+  void setHostFilter(const HostFilter& filter) { filter_ = &filter; }
+  void refilter();
+  // Sends clients away without an end: not ready, answers close their connections, those at rest are closed
+  // after a while. `takeBack` ends that.
+  void sendAway();
+  void takeBack();
+  bool ready() const;  // would take clients: knows hosts, and neither drains nor sends clients away
+  bool lists(const std::string& host) const;  // the list names it, as a host that has not gone
+  GatewayFigures figures() const;
   // Takes effect at once, but for the shares of the descriptors, which do at the next start.
   void tune(const GatewayTuning& tuning);
   // Ready no more; answers what was and still is taken; `done` is called once when nothing is left.
@@ -54,6 +72,7 @@
   struct RequestRecord {
     std::weak_ptr<ClientSession> client;
     std::shared_ptr<const ClientRequest> message;
+    std::uint32_t classIndex = 0;
     bool ended = false;  // answered, or the client has gone
     boost::beast::http::status failure = boost::beast::http::status::bad_gateway;  // if it fails
     std::vector<AttemptId> attempts;
@@ -71,7 +90,8 @@
   };
   struct HostRecord {
     tcp::endpoint endpoint;
-    ridgeshift::Phase phase = ridgeshift::Phase::out;
+    ridgeshift::Phase phase = ridgeshift::Phase::out;  // in force
+    ridgeshift::HostEntry listed;                      // as the list has it
     std::string zone;
     std::int64_t cell = 0;
   };
@@ -95,6 +115,8 @@
   Duration lagNow() const;
   bool answerOwnPaths(ClientSession& session, const ClientRequest& message);
   void learnHosts(const HostList& list, ridgeshift::ListKind kind);
+  ridgeshift::HostEntry inForce(const ridgeshift::HostEntry& listed) const;
+  void count(const RequestRecord& record, boost::beast::http::status status);
   void carryOut();
   void carryOut(const ridgeshift::Action& action);
   void send(const ridgeshift::Action& action);
@@ -122,6 +144,8 @@
   ridgeshift::Balancer balancer_;
   Listener listener_;
   UpstreamPool pool_;
+  const HostFilter* filter_ = nullptr;
+  std::vector<ClassFigures> counts_;
   Discovery discovery_;
   boost::asio::steady_timer timer_;
   Time armed_{}, wake_{}, housekeepAt_{}, closeListenerAt_{}, exitAt_{};
@@ -141,7 +165,7 @@
   std::vector<AttemptId> givenUp_;  // called off by the module, result still to be told
   ridgeshift::RequestId lastRequest_ = 0;
   AttemptId lastAttempt_ = 0;
-  bool carrying_ = false, draining_ = false;
+  bool carrying_ = false, draining_ = false, away_ = false;
   std::function<void()> done_;
 };
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -134,6 +134,7 @@
                         // An error here means that the last byte was never written: the host has not begun.
                         if (error) return over(Outcome::connectFailed);
                         if (to < request_.size()) return prove(to);
+                        ++pool_.sends_;
                         request_.clear();
                         read();
                       });
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -69,6 +69,7 @@
   std::size_t connections() const { return connections_; }
   std::size_t upstreams() const { return upstreams_.size(); }
   std::size_t opened() const { return opened_; }  // since the start
+  std::size_t sends() const { return sends_; }    // attempts whose last byte was written, since the start
 
  private:
   class Connection;
@@ -100,7 +101,7 @@
   UpstreamEvents& events_;
   std::unordered_map<ridgeshift::HostId, Upstream> upstreams_;
   std::unordered_map<AttemptId, Attempt> attempts_;
-  std::size_t connections_ = 0, opened_ = 0;
+  std::size_t connections_ = 0, opened_ = 0, sends_ = 0;
 };
 
 }  // namespace finchstile
--- /dev/null
+++ b/src/ops/exposition.cpp
@@ -0,0 +1,48 @@
+#include "ops/exposition.hpp"
+
+#include <string_view>
+
+namespace finchstile::ops {
+namespace {
+
+void type(std::string& out, std::string_view name, std::string_view what) {
+  out.append("# TYPE lb_").append(name).append(" ").append(what).append("\n");
+}
+
+void one(std::string& out, std::string_view name, std::string_view what, std::uint64_t value) {
+  type(out, name, what);
+  out.append("lb_").append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+std::string label(std::string_view value) {  // a backslash, a quote and a line's end are escaped
+  std::string out;
+  for (const char c : value) {
+    if (c == '\\' || c == '"') out += '\\';
+    if (c == '\n') out += "\\n";
+    else out += c;
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string exposition(const GatewayFigures& f, const ConfigFigures& config) {
+  std::string out;
+  out.reserve(256 + 192 * f.classes.size());
+  type(out, "transactions_total", "counter");
+  for (const ClassFigures& c : f.classes) {
+    const std::string head = "lb_transactions_total{group=\"" + label(c.name) + "\",state=\"";
+    out += head + "answered\"} " + std::to_string(c.answered) + "\n";
+    out += head + "deferred\"} " + std::to_string(c.deferred) + "\n";
+    out += head + "errored\"} " + std::to_string(c.errored) + "\n";
+  }
+  one(out, "sends_total", "counter", f.sends);
+  one(out, "current", "gauge", f.current);
+  one(out, "cluster_size", "gauge", f.listed);
+  one(out, "cluster_unhealthy", "gauge", f.avoided);
+  one(out, "conf_loaded_total", "counter", config.loaded);
+  one(out, "conf_invalid_total", "counter", config.invalid);
+  return out;
+}
+
+}  // namespace finchstile::ops
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -1013,6 +1013,9 @@
   return it == impl_->hostIds.end() ? kNone : it->second;
 }
 bool Balancer::knows(HostId host) const { return impl_->hosts.known(host); }
+bool Balancer::avoids(HostId host) const {
+  return knows(host) && (Impl::sick(impl_->hosts[host]) || impl_->now < impl_->hosts[host].restUntil);
+}
 const std::string& Balancer::address(HostId host) const {
   if (!knows(host)) throw std::out_of_range("ridgeshift: unknown host");
   return impl_->hosts[host].entry.address;
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -1,50 +1,13 @@
 // The gateway over loopback sockets.
 #include <sys/resource.h>
 
-#include "support/sockets.hpp"
+#include "support/gateway_fixture.hpp"
 
 namespace finchstile::testing {
 namespace {
 
 using std::chrono::milliseconds;
 
-struct GatewayTest : ::testing::Test {
-  asio::io_context io;
-  Clock clock;
-  // Holds each call of discovery; a test answers it when it likes.
-  std::vector<std::shared_ptr<Peer>> calls;
-  Server discovery{io, [this](const auto& peer, const Received&) { calls.push_back(peer); }};
-  std::vector<std::unique_ptr<Server>> hosts;
-  std::unique_ptr<Gateway> gateway;
-  Duration proofLeast{};  // if set: longer than any pause of a busy machine
-
-  Server& host(Server::Handler h) { return *hosts.emplace_back(std::make_unique<Server>(io, std::move(h))); }
-  json listed() {
-    json list = json::array();
-    for (std::size_t i = 0; i < hosts.size(); ++i)
-      list.push_back(hostJson("s-" + std::to_string(i), hosts[i]->endpoint()));
-    return list;
-  }
-  void start(const std::function<void(json&)>& change = [](json&) {}) {
-    json config = configJson(discovery.endpoint(), listed());
-    change(config);
-    Config read = readConfig(config.dump(), clock);
-    if (proofLeast > Duration{}) read.tuning.proofLeast = proofLeast;
-    gateway = std::make_unique<Gateway>(io, clock, std::move(read));
-    gateway->start();
-  }
-  std::shared_ptr<Client> client() { return Client::connect(io, gateway->endpoint()); }
-  bool until(const std::function<bool()>& reached) { return runUntil(io, reached); }
-  std::size_t received() const {
-    std::size_t all = 0;
-    for (const auto& h : hosts) all += h->received.size();
-    return all;
-  }
-};
-
-const auto serveOk = [](const std::shared_ptr<Peer>& peer, const Received&) { peer->reply(200, "ok"); };
-const auto hold = [](const std::shared_ptr<Peer>&, const Received&) {};
-
 TEST_F(GatewayTest, PassesRequestAndAnswerOnUnchanged) {
   const std::string odd("a\0b\r\n\r\n\xff", 8);
   host([&](const auto& peer, const Received&) { peer->reply(200, odd + "!"); });
--- /dev/null
+++ b/tests/net/operations_test.cpp
@@ -0,0 +1,193 @@
+// What operators do to a gateway that serves: clients sent away, hosts out by hand, a listener that processes
+// share, the figures.
+#include <set>
+
+#include "support/gateway_fixture.hpp"
+
+namespace finchstile::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct OperationsTest : GatewayTest {
+  unsigned health() {
+    const auto c = client();
+    c->write("GET /health/ready HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(until([&] { return c->answers.size() == 1; }));
+    return c->answers.empty() ? 0 : c->answers[0].result_int();
+  }
+};
+
+TEST_F(OperationsTest, ClientsSentAwayLoseNothingAndNoneIsKept) {
+  host(serveOk);
+  start();
+  const auto resting = client(), using_ = client();
+  resting->ask("GET", "/read", 2500);
+  using_->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return resting->answers.size() == 1 && using_->answers.size() == 1; }));
+  gateway->sendAway();
+  gateway->sendAway();  // twice is once
+  EXPECT_FALSE(gateway->ready());
+  EXPECT_EQ(health(), 503u);
+  using_->ask("GET", "/read", 2500);  // still served, and told to go
+  ASSERT_TRUE(until([&] { return using_->answers.size() == 2; }));
+  EXPECT_EQ(using_->answers[1].result_int(), 200u);
+  EXPECT_FALSE(using_->answers[1].keep_alive());
+  ASSERT_TRUE(until([&] { return resting->ended && using_->ended; }));
+  const auto late = client();  // who comes all the same is served
+  late->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return late->answers.size() == 1 && late->ended; }));
+  EXPECT_EQ(late->answers[0].result_int(), 200u);
+  gateway->takeBack();
+  EXPECT_EQ(health(), 200u);
+  const auto again = client();
+  again->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return again->answers.size() == 1; }));
+  EXPECT_TRUE(again->answers[0].keep_alive());
+  again->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return again->answers.size() == 2; }));
+}
+
+TEST_F(OperationsTest, ARequestUnderWayIsAnsweredWhileClientsAreSentAway) {
+  host(hold);
+  start();
+  const auto c = client();
+  c->ask("GET", "/read", 2900);
+  ASSERT_TRUE(until([&] { return received() == 1; }));
+  gateway->sendAway();
+  const auto resting = client();
+  ASSERT_TRUE(until([&] { return resting->ended; }));  // by then nothing rests
+  EXPECT_FALSE(c->ended);
+  hosts[0]->peers[0]->reply(200, "late");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1 && c->ended; }));
+  EXPECT_EQ(c->answers[0].body(), "late");
+}
+
+struct Out : HostFilter {
+  std::set<std::string> names;
+  void apply(ridgeshift::HostEntry& e) const override {
+    if (names.count(e.address) && e.phase == ridgeshift::Phase::in) e.phase = ridgeshift::Phase::draining;
+  }
+};
+
+// Hard case: the list goes on saying that the host is well, whole and in parts.
+TEST_F(OperationsTest, AHostOutByHandGetsNothingWhateverTheListSays) {
+  for (int i = 0; i < 2; ++i) host(serveOk);
+  start();
+  Out out;
+  gateway->setHostFilter(out);
+  const auto c = client();
+  const auto ask = [&](int times) {
+    for (int i = 0; i < times; ++i) {
+      const std::size_t before = c->answers.size();
+      c->ask("GET", "/read", 2500);
+      ASSERT_TRUE(until([&] { return c->answers.size() > before; }));
+      EXPECT_EQ(c->answers.back().result_int(), 200u);
+    }
+  };
+  ask(40);
+  EXPECT_GT(hosts[0]->received.size(), 0u);
+  EXPECT_EQ(gateway->figures().avoided, 0u);
+  out.names = {"s-0"};
+  gateway->refilter();
+  const std::size_t before = hosts[0]->received.size();
+  ask(20);
+  EXPECT_EQ(gateway->figures().listed, 2u);
+  EXPECT_EQ(gateway->figures().avoided, 1u);
+  ASSERT_TRUE(until([&] { return !calls.empty(); }));
+  const std::size_t asked = calls.size();
+  calls.back()->reply(200, listJson(7, true, listed()).dump());
+  ASSERT_TRUE(until([&] { return calls.size() > asked; }));
+  ask(20);
+  EXPECT_EQ(hosts[0]->received.size(), before);
+  EXPECT_TRUE(gateway->lists("s-0"));
+  EXPECT_FALSE(gateway->lists("s-9"));
+  out.names.clear();
+  gateway->refilter();
+  ask(40);
+  EXPECT_GT(hosts[0]->received.size(), before);
+}
+
+TEST_F(OperationsTest, FiguresCountEachEndOnceAndWhatIsUnderWay) {
+  std::size_t n = 0;
+  host([&](const auto& peer, const Received&) {
+    if (++n <= 3) peer->reply(200, "ok");
+    else if (n == 4) peer->reply(404, "");
+  });
+  start();
+  const auto c = client();
+  for (int i = 0; i < 4; ++i) {
+    c->ask("GET", "/read", 2500);
+    ASSERT_TRUE(until([&] { return c->answers.size() == static_cast<std::size_t>(i) + 1; }));
+  }
+  const auto held = client(), left = client();
+  held->ask("POST", "/book", 300, "x");
+  left->ask("POST", "/book", 2500, "x");
+  ASSERT_TRUE(until([&] { return received() == 6; }));
+  GatewayFigures f = gateway->figures();
+  ASSERT_EQ(f.classes.size(), 3u);
+  EXPECT_EQ(f.classes[0].name, "read");
+  EXPECT_EQ(f.classes[0].answered, 3u);
+  EXPECT_EQ(f.classes[0].errored, 1u);
+  EXPECT_EQ(f.sends, 6u);
+  EXPECT_EQ(f.current, 2u);
+  left->close();
+  ASSERT_TRUE(until([&] { return held->answers.size() == 1 && gateway->figures().current == 0; }));
+  f = gateway->figures();
+  EXPECT_EQ(f.classes[1].answered + f.classes[1].deferred, 0u);
+  EXPECT_EQ(f.classes[1].errored, 1u);  // the one that waited; nobody was told of the other
+}
+
+// The platform keeps the listening socket and lends it to each process.
+TEST_F(OperationsTest, TwoGatewaysShareAListenerAndTheOneThatEndsLeavesTheQueueToTheOther) {
+  host(serveOk);
+  tcp::acceptor kept(io, loopback());
+  const auto make = [&](const std::string& body) {
+    Config config = readConfig(configJson(discovery.endpoint(), listed()).dump(), clock);
+    config.listen = kept.local_endpoint();
+    config.inheritedListener = ::dup(kept.native_handle());
+    (void)body;
+    return std::make_unique<Gateway>(io, clock, std::move(config));
+  };
+  gateway = make("first");
+  gateway->start();
+  const auto resting = Client::connect(io, kept.local_endpoint());
+  resting->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return resting->answers.size() == 1; }));
+  int done = 0;
+  gateway->drain([&] { ++done; });
+  const auto queued = Client::connect(io, kept.local_endpoint());
+  queued->ask("GET", "/read", 2500);
+  resting->ask("GET", "/read", 2500);  // still served by the first, and told to go
+  ASSERT_TRUE(until([&] { return resting->ended && done == 1; }));
+  EXPECT_EQ(resting->answers.size(), 2u);
+  EXPECT_EQ(queued->answers.size(), 0u);
+  EXPECT_FALSE(queued->ended);
+  const auto next = make("next");
+  next->start();
+  ASSERT_TRUE(until([&] { return queued->answers.size() == 1; }));
+  EXPECT_EQ(queued->answers[0].result_int(), 200u);
+  EXPECT_TRUE(queued->answers[0].keep_alive());
+}
+
+TEST_F(OperationsTest, ADescriptorThatIsNoListenerOfOursIsTurnedDown) {
+  Config config = readConfig(configJson(discovery.endpoint(), json::array()).dump(), clock);
+  const auto fails = [&](int fd) {
+    Config c = config;
+    c.inheritedListener = fd;
+    try {
+      Gateway g(io, clock, std::move(c));
+    } catch (const std::runtime_error& e) {
+      return std::string(e.what());
+    }
+    return std::string();
+  };
+  EXPECT_NE(fails(0).find("is no listening socket"), std::string::npos);
+  EXPECT_NE(fails(987654).find("is no listening socket"), std::string::npos);
+  tcp::acceptor other(io, loopback());
+  config.listen = {asio::ip::make_address("127.0.0.1"), 1};
+  EXPECT_NE(fails(::dup(other.native_handle())).find("does not listen at the address"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace finchstile::testing
--- /dev/null
+++ b/tests/ops/exposition_test.cpp
@@ -0,0 +1,32 @@
+#include "ops/exposition.hpp"
+
+#include <gtest/gtest.h>
+
+namespace finchstile::ops {
+namespace {
+
+TEST(Exposition, HasEachFigureOnALineOfItsOwn) {
+  GatewayFigures f;
+  f.classes = {{"log-in", 812, 3, 1}, {"a\"b\\c\nd", 0, 0, 0}};
+  f.sends = 900;
+  f.current = 14;
+  f.listed = 12;
+  f.avoided = 2;
+  EXPECT_EQ(exposition(f, {4, 1}),
+            "# TYPE lb_transactions_total counter\n"
+            "lb_transactions_total{group=\"log-in\",state=\"answered\"} 812\n"
+            "lb_transactions_total{group=\"log-in\",state=\"deferred\"} 3\n"
+            "lb_transactions_total{group=\"log-in\",state=\"errored\"} 1\n"
+            "lb_transactions_total{group=\"a\\\"b\\\\c\\nd\",state=\"answered\"} 0\n"
+            "lb_transactions_total{group=\"a\\\"b\\\\c\\nd\",state=\"deferred\"} 0\n"
+            "lb_transactions_total{group=\"a\\\"b\\\\c\\nd\",state=\"errored\"} 0\n"
+            "# TYPE lb_sends_total counter\nlb_sends_total 900\n"
+            "# TYPE lb_current gauge\nlb_current 14\n"
+            "# TYPE lb_cluster_size gauge\nlb_cluster_size 12\n"
+            "# TYPE lb_cluster_unhealthy gauge\nlb_cluster_unhealthy 2\n"
+            "# TYPE lb_conf_loaded_total counter\nlb_conf_loaded_total 4\n"
+            "# TYPE lb_conf_invalid_total counter\nlb_conf_invalid_total 1\n");
+}
+
+}  // namespace
+}  // namespace finchstile::ops
