--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -98,6 +98,9 @@
   Duration cost{};                    // expected work; zero = not known
   std::uint64_t key = 0;
   bool hasKey = false;
+  // Its body is still coming and goes on as it comes: it can be sent once only, and neither its time nor a host's
+  // work counts before `onArrived`.
+  bool arriving = false;
   // Binds this one like an attempt of its own that may have run: it goes only where repeats are dropped
   // together with that one's, within its window, and else fails; it is never refused, since trying again
   // would not be harmless.
@@ -159,6 +162,8 @@
 
   void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
   void onRequest(Time now, const Request& request);
+  // The last byte of an `arriving` request is here. The time limit of its attempt from now on; 0: none is out.
+  Duration onArrived(Time now, RequestId request);
   void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
   void onResult(Time now, const AttemptResult& result);
   void onClientGone(Time now, RequestId request);
--- a/src/idempotency/stage.cpp
+++ b/src/idempotency/stage.cpp
@@ -186,6 +186,10 @@
 
 Arrival IdempotencyStage::onArrived(Exchange& x) {
   if (x.effect != ridgeshift::Effect::dedup) return {};
+  if (!x.whole) {  // what is not here can't be compared: it goes on as if there were no store
+    ++counts_.large;
+    return {};
+  }
   const Store::Result r = store_.arrive(clock_.now(), arrivalOf(x));
   Arrival out;
   switch (r.admission) {
@@ -258,6 +262,15 @@
   if (!state(x)) return;
   State& s = static_cast<State&>(*state(x));
   if (s.waits) return;
+  if (!head.whole) {  // it ran, and what it answered can't be kept: a repeat is bound by it
+    const Store::EntryId entry = s.entry;
+    if (s.recording) recordingOf_.erase(x.id);
+    if (s.asking) askingOf_.erase(s.run);
+    orphans_.erase(entry);
+    state(x).reset();
+    over(store_.end(clock_.now(), entry, Store::End::mayHaveRun), nullptr);
+    return pump();
+  }
   if (head.fromHost) s.answer = {head.status, std::string(head.contentType), std::string(head.body)};
   else if (!s.had) return;
   if (s.recording) recordingOf_.erase(x.id);  // another gateway's answer came before its own record was safe
@@ -360,7 +373,7 @@
          n("uncertain", store_.count(S::uncertain)) + n("evicted", store_.evicted()) +
          n("fresh", counts_.fresh) + n("joined", counts_.joined) + n("replayed", counts_.replayed) +
          n("again", counts_.again) + n("mismatched", counts_.mismatched) + n("crowded", counts_.crowded) +
-         n("full", counts_.full) + n("answered_from_first", counts_.answeredFromFirst) +
+         n("full", counts_.full) + n("large", counts_.large) + n("answered_from_first", counts_.answeredFromFirst) +
          n("promoted", counts_.promoted) + n("kept_without_client", counts_.keptWithoutClient) + log + owners;
 }
 
--- a/src/idempotency/stage.hpp
+++ b/src/idempotency/stage.hpp
@@ -17,6 +17,7 @@
 
 struct Counts {
   std::uint64_t fresh = 0, joined = 0, replayed = 0, again = 0, mismatched = 0, crowded = 0, full = 0;
+  std::uint64_t large = 0;  // longer than is held, passed by the store
   std::uint64_t answeredFromFirst = 0, promoted = 0, keptWithoutClient = 0;
   std::uint64_t unknown = 0;     // new ones that count as uncertain, since the log was damaged
   std::uint64_t unrecorded = 0;  // that went on, or were turned away, without a record
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -8,6 +8,10 @@
 #include <boost/asio/buffer.hpp>
 #include <cstdio>
 #include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace finchstile {
 namespace {
@@ -28,6 +32,9 @@
 // at most so large a part of the limit is kept.
 constexpr std::size_t kIdlePart = 3;
 constexpr std::size_t kAheadMost = 16 * 1024;  // read of later requests while one is answered
+// The slowest that a body may come, in bytes a second: half of what slow lines carry. Below it whoever sends
+// is taken for silent, and a descriptor is worth more than its request.
+constexpr double kBodyRate = 32 * 1024;
 
 }  // namespace
 
@@ -140,8 +147,6 @@
 
 Duration Listener::limit(State state) const {
   switch (state) {
-    case State::fresh:
-    case State::reading: return tuning_.request;
     case State::idle: return tuning_.idle;
     case State::writing: return tuning_.write;
     case State::lingering: return draining() ? kLingerDrain : kLingerMost;
@@ -150,17 +155,24 @@
 }
 
 void Listener::sweep() {
-  for (const State state : {State::fresh, State::reading, State::idle, State::writing, State::lingering})
+  for (const State state : {State::idle, State::writing, State::lingering})
     for (std::size_t left = in(state).size(); left > 0 && age(state) > limit(state); --left) {
       const auto session = in(state).front();
-      if (state == State::fresh || state == State::reading) session->tooSlow();
-      else if (state == State::idle) session->closeIdle();
+      if (state == State::idle) session->closeIdle();
       else session->close();
       if (session->state_ == state) break;  // its request has just come
     }
-  const auto each = [this](State state, auto act) {  // `act` may take it out of the list
-    for (auto it = in(state).begin(); it != in(state).end();) act(**it++);
+  // What ends one may end others, and lists change under the loop: those that are due are taken note of
+  // first.
+  const auto each = [this](State state, auto act) {
+    const std::vector<std::shared_ptr<ClientSession>> all(in(state).begin(), in(state).end());
+    for (const auto& session : all)
+      if (session->state_ == state) act(*session);
   };
+  for (const State state : {State::fresh, State::reading, State::waiting})
+    each(state, [](ClientSession& s) {
+      if (s.overdue()) s.tooSlow();
+    });
   each(State::waiting, [](ClientSession& s) { s.lookForEnd(); });
   const bool ending = draining_ && !acceptor_.is_open();
   if (away_ != Time{} ? clock_.now() < away_ : !ending) return;
@@ -224,11 +236,12 @@
 }
 
 void ClientSession::onReadable() {
-  if (state_ == State::writing) return;  // the next read waits again
+  if (state_ == State::writing || state_ == State::passing) return;  // the next read waits again
   if (state_ == State::lingering) return discard();
   // Bytes of a next request are taken in, up to a limit, while this one is answered: behind them, the end of
   // a client that left would not be seen.
-  const bool ahead = state_ == State::waiting;
+  if (state_ == State::waiting && partial_ && !pulled_) return;  // `pull` waits again
+  const bool ahead = state_ == State::waiting && !partial_;
   const std::size_t held = buffer_.size();
   if (ahead && held >= kAheadMost) return;  // `lookForEnd` sees the end
   error_code error;
@@ -236,6 +249,8 @@
   if (error == asio::error::would_block || error == asio::error::try_again) return await();
   if (error) return close();
   if (ahead) return await();
+  heard_ = listener_.clock_.now();
+  if (partial_) return passPart();
   if (state_ == State::idle) enter(State::reading);
   begun_ = true;
   advance();
@@ -255,9 +270,11 @@
   using Step = MessageReader<true>::Step;
   error_code error;
   for (;;) switch (reader_.step(buffer_, error)) {
-      case Step::more: return await();
+      case Step::more:
+        if (reader_.bodyHeld() > kWholeMost) return parsed(false);
+        return await();
       case Step::bad: return refuseInput(error);
-      case Step::whole: return parsed();
+      case Step::whole: return parsed(true);
       case Step::head:
         if (!reader_.parser().is_done() &&
             beast::iequals(reader_.parser().get()[http::field::expect], "100-continue"))
@@ -266,25 +283,65 @@
 }
 
 void ClientSession::sayContinue() {
-  continue_ = {http::status::continue_, 11};
+  static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
   continuing_ = true;
-  http::async_write(socket_, continue_, [this, self = shared_from_this()](error_code error, std::size_t) {
-    continuing_ = false;
-    if (state_ == State::closed) return;
-    if (error) return close();
-    advance();
-  });
+  asio::async_write(socket_, asio::buffer(kContinue, sizeof kContinue - 1),
+                    [this, self = shared_from_this()](error_code error, std::size_t) {
+                      continuing_ = false;
+                      if (state_ == State::closed) return;
+                      if (error) return close();
+                      advance();
+                    });
 }
 
-void ClientSession::parsed() {
-  ClientRequest request = reader_.parser().release();
+void ClientSession::parsed(bool whole) {
+  ClientRequest request = reader_.takeMessage();
   keepAlive_ = request.keep_alive();
   version_ = request.version();
   headOnly_ = request.method() == http::verb::head;
   enter(State::waiting);
+  partial_ = !whole;
+  pulled_ = false;
+  held_ = {};
+  heldSince_ = since_;
+  const auto self = shared_from_this();
+  listener_.events_.onClientRequest(self, std::move(request), whole);
+  if (state_ == State::waiting && !partial_) await();
+}
+
+void ClientSession::pull() {
+  if (state_ != State::waiting || !partial_ || std::exchange(pulled_, true)) return;
+  heard_ = listener_.clock_.now();
+  held_ += heard_ - heldSince_;
+  if (buffer_.size() > 0) return passPart();
+  await();
+}
+
+void ClientSession::passPart() {
+  using Step = MessageReader<true>::Step;
+  error_code error;
+  const Step step = reader_.step(buffer_, error);
+  // It is under way, and nothing can be said of it any more that its client would not take for an answer.
+  if (step == Step::bad) return close();
+  if (step == Step::more && reader_.bodyHeld() == 0) return await();
+  partial_ = step != Step::whole;
+  pulled_ = false;
+  heldSince_ = listener_.clock_.now();
   const auto self = shared_from_this();
-  listener_.events_.onClientRequest(self, std::move(request));
-  if (state_ == State::waiting) await();
+  listener_.events_.onClientBody(request_, reader_.takeBody(), !partial_);
+  if (state_ == State::waiting && !partial_) await();
+}
+
+// Time in which nothing was asked of it does not count against who sends.
+bool ClientSession::overdue() const {
+  if (state_ == State::waiting && (!partial_ || !pulled_)) return false;
+  // Danger: a body that came fast would earn its client minutes of silence.
+  if (partial_ && listener_.clock_.now() - heard_ > listener_.tuning_.request) return true;
+  double bytes = static_cast<double>(reader_.bodyRead());
+  if (partial_) bytes -= static_cast<double>(kWholeMost);
+  const auto grown = std::chrono::duration<double>(bytes / kBodyRate);
+  return listener_.clock_.now() - since_ - (partial_ ? held_ : Duration{}) >
+         listener_.tuning_.request + std::chrono::duration_cast<Duration>(grown);
 }
 
 void ClientSession::refuse(http::status status) {
@@ -303,7 +360,7 @@
 
 void ClientSession::tooSlow() {
   if (!begun_) return closeIdle();
-  if (continuing_) return close();  // two writes at once would mix
+  if (continuing_ || state_ == State::waiting) return close();  // two writes at once would mix
   refuse(http::status::request_timeout);
 }
 
@@ -314,35 +371,102 @@
   if (::poll(&look, 1, 0) > 0) close();
 }
 
+// Whoever has not sent its request whole can't be answered and go on: what still comes would be taken for a
+// next request.
 void ClientSession::answer(Answer&& a) {
   if (state_ != State::waiting) return;
   request_ = 0;
+  if (!a.parted) {
+    startHead(a, a.body.size());
+    if (!headOnly_) out_ += a.body;
+    return write();
+  }
+  const std::optional<std::uint64_t> length = a.parted->length;
+  relay_ = a.parted->relay;
+  chunked_ = !length && version_ >= 11;
+  unbounded_ = !length && !chunked_;
+  if (unbounded_) keepAlive_ = false;  // the end of the connection is the end of the body
+  startHead(a, length);
+  pass(std::move(a.body), false);
+}
+
+void ClientSession::startHead(const Answer& a, std::optional<std::uint64_t> length) {
   enter(State::writing);
-  response_ = {};
-  response_.result(a.status);
-  response_.version(version_);
-  const bool keepAlive = keepAlive_ && !a.close && !listener_.draining();
-  response_.keep_alive(keepAlive);
-  if (!a.contentType.empty()) response_.set(http::field::content_type, a.contentType);
-  for (const HeaderLine& line : a.headers) response_.set(line.name, line.value);
+  if (std::exchange(partial_, false)) keepAlive_ = false;
+  keepAlive_ = keepAlive_ && !a.close && !listener_.draining();
+  const auto line = [this](std::string_view name, std::string_view value) {
+    out_.append(name).append(": ").append(value).append("\r\n");
+  };
+  const auto reason = http::obsolete_reason(a.status);
+  out_.reserve(256 + a.body.size());
+  out_ = version_ >= 11 ? "HTTP/1.1 " : "HTTP/1.0 ";
+  out_.append(std::to_string(static_cast<unsigned>(a.status))).append(" ");
+  out_.append(reason.data(), reason.size()).append("\r\n");
+  if (version_ >= 11 && !keepAlive_) line("Connection", "close");
+  if (version_ < 11 && keepAlive_) line("Connection", "keep-alive");
+  if (!a.contentType.empty()) line("Content-Type", a.contentType);
+  for (const HeaderLine& h : a.headers) line(h.name, h.value);
   if (a.retryAfter > Duration{}) {
     char text[32];
     std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(a.retryAfter).count());
-    response_.set(http::field::retry_after, text);
+    line("Retry-After", text);
   }
-  response_.content_length(a.body.size());
-  if (!headOnly_) response_.body() = std::move(a.body);
-  http::async_write(socket_, response_,
-                    [this, self = shared_from_this(), keepAlive](error_code error, std::size_t) {
-                      written(error, keepAlive);
-                    });
+  if (length) line("Content-Length", std::to_string(*length));
+  else if (chunked_) line("Transfer-Encoding", "chunked");
+  out_ += "\r\n";
 }
 
-void ClientSession::written(error_code error, bool keepAlive) {
-  if (state_ == State::closed) return;
-  if (error) return close();
-  response_ = {};
-  if (keepAlive) return read();
+// RFC 9112, 7.1, where the length is not known ahead.
+void ClientSession::pass(std::string&& piece, bool last) {
+  if (state_ != State::writing && state_ != State::passing) return;
+  more_ = !last;
+  if (chunked_) {
+    if (!piece.empty()) {
+      char size[24];
+      out_.append(size, static_cast<std::size_t>(std::snprintf(size, sizeof size, "%zx\r\n", piece.size())));
+      out_.append(piece).append("\r\n");
+    }
+    if (last) out_ += "0\r\n\r\n";
+  } else if (out_.empty()) {
+    out_ = std::move(piece);
+  } else {
+    out_ += piece;
+  }
+  enter(State::writing);
+  write();
+}
+
+void ClientSession::cut() {
+  relay_ = 0;
+  error_code ignored;
+  // Danger: an end in order would tell its client that this was all.
+  if (unbounded_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  close();
+}
+
+// Who takes a little at a time goes on; only who takes nothing is ended.
+void ClientSession::write() {
+  socket_.async_write_some(asio::buffer(out_.data() + written_, out_.size() - written_),
+                           [this, self = shared_from_this()](error_code error, std::size_t n) {
+                             if (state_ == State::closed) return;
+                             if (error) return close();
+                             written_ += n;
+                             if (written_ == out_.size()) return written();
+                             enter(State::writing);
+                             write();
+                           });
+}
+
+void ClientSession::written() {
+  out_.clear();
+  written_ = 0;
+  if (more_) {
+    enter(State::passing);
+    return listener_.events_.onClientTook(relay_);
+  }
+  if (const RelayId relay = std::exchange(relay_, 0)) listener_.events_.onClientTook(relay);
+  out_.shrink_to_fit();
+  if (keepAlive_) return read();
   linger();
 }
 
@@ -381,6 +505,7 @@
   socket_.close(ignored);
   const ridgeshift::RequestId request = std::exchange(request_, 0);
   if (asked && request != 0) listener_.events_.onClientLeft(request);
+  if (const RelayId relay = std::exchange(relay_, 0)) listener_.events_.onRelayBroken(relay);
 }
 
 }  // namespace finchstile
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -7,8 +7,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,13 @@
 using boost::asio::ip::tcp;
 using ClientRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
+using RelayId = std::uint64_t;  // an answer that is passed on piece by piece
+
+struct Parted {  // what an answer is that is not whole: `body` has the first of it
+  std::optional<std::uint64_t> length;
+  RelayId relay = 0;
+};
+
 struct Answer {
   boost::beast::http::status status = boost::beast::http::status::ok;
   std::string body;
@@ -30,6 +39,7 @@
   std::vector<HeaderLine> headers;  // further ones
   Duration retryAfter{};            // 0: none
   bool close = false;
+  std::optional<Parted> parted;
 };
 
 inline Answer plainAnswer(boost::beast::http::status status) {
@@ -43,8 +53,15 @@
 class ClientEvents {
  public:
   virtual ~ClientEvents() = default;
-  virtual void onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& request) = 0;
+  // `whole`: all of it is here. Else more of its body comes when the session is asked to `pull`, a piece each
+  // time, the last one marked.
+  virtual void onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& request,
+                               bool whole) = 0;
+  virtual void onClientBody(ridgeshift::RequestId request, std::string&& piece, bool last) = 0;
   virtual void onClientLeft(ridgeshift::RequestId request) = 0;
+  // All pieces of its answer that were handed over have been written; or its client takes no more.
+  virtual void onClientTook(RelayId relay) = 0;
+  virtual void onRelayBroken(RelayId relay) = 0;
 };
 
 class Listener {
@@ -71,8 +88,9 @@
 
  private:
   friend class ClientSession;
-  // fresh: its first request has not come in full yet. waiting: for the answer.
-  enum class State { fresh, idle, reading, waiting, writing, lingering, closed };
+  // fresh: its first request has not come in full yet. waiting: for the answer, with all of the request here
+  // or not. writing: the client is to take bytes. passing: the host is to give more of the answer.
+  enum class State { fresh, idle, reading, waiting, writing, passing, lingering, closed };
   using Sessions = std::list<std::shared_ptr<ClientSession>>;
 
   void adopt(const tcp::endpoint& at, int fd);
@@ -92,14 +110,16 @@
   ClientEvents& events_;
   tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
-  std::array<Sessions, 6> sessions_;  // by state, in the order in which they entered it
+  std::array<Sessions, 7> sessions_;  // by state, in the order in which they entered it
   std::size_t size_ = 0;
   const bool inherited_;
   bool draining_ = false;
   Time away_{};  // clients are sent away, and none may rest from then on; 0: they are not
 };
 
-// One client connection. It passes a request on only when the one before has been answered.
+// One client connection. It passes a request on only when the one before has been answered. Of a request's
+// body and of an answer that are too long to be held whole one piece is under way at a time: who does not
+// take it holds up nobody but the one that sends it.
 class ClientSession : public std::enable_shared_from_this<ClientSession> {
  public:
   ClientSession(tcp::socket socket, Listener& listener);
@@ -109,6 +129,11 @@
   // taken for that of the next request. Both are dropped here.
   void answer(Answer&& answer);
   void setRequest(ridgeshift::RequestId id) { request_ = id; }
+  void pull();  // the next piece of a request that is not whole yet
+  // Of an answer that is parted. Each piece is to wait for `onClientTook`; `cut` ends it so that the client
+  // can tell that it is not whole.
+  void pass(std::string&& piece, bool last);
+  void cut();
 
  private:
   friend class Listener;
@@ -120,12 +145,16 @@
   void read();
   void advance();
   void sayContinue();
-  void parsed();
+  void parsed(bool whole);
   void refuse(boost::beast::http::status status);
   void refuseInput(boost::system::error_code error);
   void tooSlow();
+  bool overdue() const;
   void lookForEnd();
-  void written(boost::system::error_code error, bool keepAlive);
+  void passPart();
+  void startHead(const Answer& answer, std::optional<std::uint64_t> length);
+  void write();
+  void written();
   void linger();
   void discard();
   void closeIdle();
@@ -136,15 +165,21 @@
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   MessageReader<true> reader_;
-  boost::beast::http::response<boost::beast::http::string_body> response_;
-  boost::beast::http::response<boost::beast::http::empty_body> continue_;
+  std::string out_;  // still to be written, from `written_` on
+  std::size_t written_ = 0;
+  RelayId relay_ = 0;  // its answer comes in pieces; 0: it does not
+  bool more_ = false, chunked_ = false, unbounded_ = false;
   State state_ = State::fresh;
   Listener::Sessions::iterator place_{};
   Time since_{};
   ridgeshift::RequestId request_ = 0;  // 0: none, or the client has already been told of as gone
   std::size_t discarded_ = 0;
   unsigned version_ = 11;
-  bool begun_ = false;       // bytes of a request have come
+  bool begun_ = false;    // bytes of a request have come
+  bool partial_ = false;  // one that is passed on has not come in whole yet
+  bool pulled_ = false;   // and a piece of it is asked for
+  Duration held_{};       // time for which nothing was asked for
+  Time heldSince_{}, heard_{};
   bool awaiting_ = false;    // a wait for bytes is out
   bool continuing_ = false;  // the word to go on is being written
   bool keepAlive_ = true, headOnly_ = false;
--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -3,14 +3,22 @@
 #pragma once
 
 #include <algorithm>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstddef>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace finchstile {
 
-inline constexpr std::size_t kBodyMost = 64 * 1024;
+// A body up to kWholeMost is held whole, so that the request can go to another host and a spoilt answer be
+// found out before its client has a byte of it. A longer one is passed on piece by piece as it comes, and can
+// be neither.
+inline constexpr std::size_t kWholeMost = 64 * 1024;
+inline constexpr std::size_t kBodyMost = 32 * 1024 * 1024;
+inline constexpr std::size_t kPieceMost = 32 * 1024;  // of a longer body, under way at once in each direction
 inline constexpr std::size_t kHeadMost = 16 * 1024;
 inline constexpr std::size_t kReadMost = 8 * 1024;                     // taken from a socket at once
 inline constexpr std::size_t kBufferMost = 2 * kHeadMost + kReadMost;  // not yet parsed
@@ -30,10 +38,35 @@
                                                          [](char c) { return c >= '0' && c <= '9'; }));
 }
 
+// A string that grows as bytes come. Danger: Beast's own string body reserves at once what a head promises,
+// and a head may promise anything.
+struct GrowingBody {
+  using value_type = std::string;
+  class reader {
+   public:
+    template <bool isRequest, class Fields>
+    reader(boost::beast::http::header<isRequest, Fields>&, value_type& body) : body_(body) {}
+    void init(const boost::optional<std::uint64_t>&, boost::system::error_code& error) { error = {}; }
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, boost::system::error_code& error) {
+      const std::size_t before = body_.size();
+      for (const auto& piece : boost::beast::buffers_range_ref(buffers))
+        body_.append(static_cast<const char*>(piece.data()), piece.size());
+      error = {};
+      return body_.size() - before;
+    }
+    void finish(boost::system::error_code& error) { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 template <bool isRequest>
 class MessageReader {
  public:
-  using Parser = boost::beast::http::parser<isRequest, boost::beast::http::string_body>;
+  using Parser = boost::beast::http::parser<isRequest, GrowingBody>;
+  using Whole = boost::beast::http::message<isRequest, boost::beast::http::string_body>;
   enum class Step { more, head, whole, bad };
 
   void restart() {
@@ -42,10 +75,12 @@
     parser_->header_limit(kHeadMost);
     headBytes_ = 0;
     headDone_ = false;
+    taken_ = 0;
   }
 
   // Takes what it can use from the buffer. `head` comes once, before a byte of the body is looked at; `more`
-  // asks for bytes; after `bad`, `error` tells why.
+  // asks for bytes; after `bad`, `error` tells why. The body grows in `parser().get().body()` until it is
+  // taken.
   Step step(boost::beast::flat_buffer& buffer, boost::system::error_code& error) {
     namespace http = boost::beast::http;
     error = {};
@@ -80,10 +115,28 @@
   }
 
   Parser& parser() { return *parser_; }
+  bool headDone() const { return headDone_; }
+  std::size_t bodyHeld() const { return parser_->get().body().size(); }
+  std::uint64_t bodyRead() const { return taken_ + bodyHeld(); }  // since `restart`
+  // The body as far as it has come and has not been taken.
+  std::string takeBody() {
+    std::string body = std::exchange(parser_->get().body(), {});
+    taken_ += body.size();
+    return body;
+  }
+  // The message with the body as far as it has come; if it is not whole, more of it may follow.
+  Whole takeMessage() {
+    std::string body = takeBody();
+    Whole out =
+        parser_->is_done() ? Whole{std::move(parser_->release().base())} : Whole{parser_->get().base()};
+    out.body() = std::move(body);
+    return out;
+  }
 
  private:
   std::optional<Parser> parser_;
   std::size_t headBytes_ = 0;
+  std::uint64_t taken_ = 0;
   bool headDone_ = false;
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -133,7 +133,8 @@
   return true;
 }
 
-void Gateway::onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& message) {
+void Gateway::onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& message,
+                              bool whole) {
   if (answerOwnPaths(*session, message)) return;
   ridgeshift::Request q;
   http::status usable = reader_.read(message, q);
@@ -152,6 +153,7 @@
   r.client = session;
   r.message = std::make_shared<const ClientRequest>(std::move(message));
   r.classIndex = q.classIndex;
+  r.arriving = q.arriving = !whole;
   session->setRequest(q.id);
   Arrival arrival;
   if (!stages_.empty()) {
@@ -159,6 +161,8 @@
     arrival = stages_.arrived(*r.exchange);
     q.earlier = r.exchange->earlier;
   }
+  // Danger: what is held would hold up its client in the midst of its body, past any time that it goes by.
+  if (arrival.hold && !whole) arrival = {plainAnswer(http::status::payload_too_large), false};
   if (arrival.answer) answer(q.id, RequestEnd::rejected, std::move(*arrival.answer));
   else if (arrival.hold) hold(r, q);
   else balancer_.onRequest(clock_.now(), q);
@@ -246,6 +250,7 @@
   if (q.tenantIndex < config_.settings.tenants.size())
     x->tenant = config_.settings.tenants[q.tenantIndex].name;
   x->deadline = clock_.now() + q.left;
+  x->whole = !q.arriving;
   x->states.resize(stages_.size());
   return x;
 }
@@ -257,11 +262,12 @@
   // A host's 4xx is passed on as the failure that it is.
   const bool byHost = from || (how == RequestEnd::failed && a.status != http::status::bad_gateway);
   if (x)
-    stages_.answerHead(
-        *x, {static_cast<unsigned>(a.status), byHost, from ? &from->head : nullptr, a.contentType, a.body},
-        a.headers);
+    stages_.answerHead(*x,
+                       {static_cast<unsigned>(a.status), byHost, from ? &from->head : nullptr, a.contentType,
+                        a.body, !a.parted},
+                       a.headers);
   it->second.ended = true;
-  count(it->second, a.status);
+  if (!a.parted) count(it->second, a.status);
   if (const auto client = it->second.client.lock()) client->answer(std::move(a));
   if (x) stages_.answerDone(*x);
   end(id, it->second, how);
@@ -280,6 +286,7 @@
   GatewayFigures f;
   f.classes = counts_;
   f.sends = pool_.sends();
+  f.current = relays_.size();
   for (const auto& [id, r] : requests_) f.current += !r.ended;
   for (const auto& [id, h] : hosts_) {
     if (h.listed.phase == Phase::out) continue;
@@ -317,33 +324,43 @@
   r.attempts.resize(std::max<std::size_t>(r.attempts.size(), action.attempt + 1));
   r.attempts[action.attempt] = id;
   ++r.out;
-  attempts_[id] = {action.request, action.attempt, action.host, now, now + action.span};
-  limits_.emplace(now + action.span, id);
+  // Of one whose body is still coming the client is timed, and the host that takes it; the module's limit
+  // comes with the last byte.
+  const Time limit = r.arriving ? Time::max() : now + action.span;
+  attempts_[id] = {action.request, action.attempt, action.host, now, limit};
+  limits_.emplace(limit, id);
   if (host == hosts_.end()) return;  // cannot be: the module knows only hosts that we named; times out
   pool_.send(id, action.host, host->second.endpoint, action.proveFirst);
 }
 
 // The last look before the first byte: a wait for a connection may have outlived the request, its time, or
 // the host's place in the list.
-std::optional<UpstreamRequest> Gateway::compose(AttemptId id) {
+std::optional<Outgoing> Gateway::compose(AttemptId id) {
   const auto a = attempts_.find(id);
   if (a == attempts_.end()) return std::nullopt;
   const auto r = requests_.find(a->second.request);
   const auto h = hosts_.find(a->second.host);
   if (r == requests_.end() || r->second.ended || h == hosts_.end() || h->second.phase != Phase::in)
     return std::nullopt;
+  const ClientRequest& from = *r->second.message;
+  const bool whole = !r->second.arriving;
   const auto left = std::chrono::duration_cast<milliseconds>(a->second.limit - clock_.now()).count();
   if (left <= 0) return std::nullopt;
-  const ClientRequest& from = *r->second.message;
-  UpstreamRequest to{from.method(), from.target(), 11};
+  Outgoing out{UpstreamRequest(from.method(), from.target(), 11), whole};
+  UpstreamRequest& to = out.message;
   if (from.method() == http::verb::unknown) to.method_string(from.method_string());
   to.set(http::field::host,
          h->second.endpoint.address().to_string() + ":" + std::to_string(h->second.endpoint.port()));
   for (const char* name : {"X-Correlation-Id", "Idempotency-Key", "Content-Type"})
     if (const auto value = from[name]; !value.empty()) to.set(name, value);
-  to.set("X-Time-Left-Ms", std::to_string(left));
+  if (whole) to.set("X-Time-Left-Ms", std::to_string(left));
+  else to.set("X-Time-Left-Ms", from["X-Time-Left-Ms"]);
   to.body() = from.body();
-  if (!from.body().empty() || from.method() != http::verb::get) to.content_length(from.body().size());
+  if (!whole) {
+    if (const auto length = from[http::field::content_length]; !length.empty())
+      to.set(http::field::content_length, length);
+    else to.chunked(true);
+  } else if (!from.body().empty() || from.method() != http::verb::get) to.content_length(from.body().size());
   if (Exchange* const x = r->second.exchange.get()) {
     ++x->attempts;
     x->zone = h->second.zone;
@@ -352,7 +369,94 @@
     for (const HeaderLine& line : x->toHost) to.set(line.name, line.value);
     stages_.sent(*x, to);
   }
-  return to;
+  return out;
+}
+
+void Gateway::onWantBody(AttemptId id) {
+  const auto a = attempts_.find(id);
+  if (a == attempts_.end()) return;
+  const auto r = requests_.find(a->second.request);
+  if (r == requests_.end()) return;
+  if (const auto client = r->second.client.lock()) client->pull();
+}
+
+void Gateway::onClientBody(RequestId id, std::string&& piece, bool last) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.ended || it->second.attempts.empty()) return;
+  const AttemptId attempt = it->second.attempts.back();
+  if (last) {
+    it->second.arriving = false;
+    const auto a = attempts_.find(attempt);
+    if (a != attempts_.end()) {
+      const Time now = clock_.now();
+      limits_.erase({a->second.limit, attempt});
+      a->second.sent = now;
+      a->second.limit = now + balancer_.onArrived(now, id);
+      limits_.emplace(a->second.limit, attempt);
+    }
+  }
+  pool_.feed(attempt, std::move(piece), last);
+  if (last) carryOut();
+}
+
+// --- Answers that are passed on piece by piece
+// -------------------------------------------------------------------
+
+// To the module it is served: what the client takes its time over is no load, and can go nowhere else.
+void Gateway::onAnswerBegun(AttemptId id, UpstreamAnswer&& upstream, std::optional<std::uint64_t> length) {
+  const auto a = attempts_.find(id);
+  const auto r = a == attempts_.end() ? requests_.end() : requests_.find(a->second.request);
+  if (r == requests_.end() || r->second.ended) {
+    pool_.giveUp(id);
+    settle(id, Outcome::served, std::move(upstream));
+    return carryOut();
+  }
+  const auto client = r->second.client.lock();
+  relays_[id] = {r->first, r->second.client, false};
+  ++r->second.out;  // its record, and its id, stay until the relay is over
+  settle(id, Outcome::served, std::move(upstream), Parted{length, id});
+  if (!client) onRelayBroken(id);
+  carryOut();
+}
+
+void Gateway::onAnswerPiece(AttemptId id, std::string&& piece, bool last) {
+  const auto it = relays_.find(id);
+  if (it == relays_.end()) return;
+  it->second.last = last;
+  if (const auto client = it->second.client.lock()) client->pass(std::move(piece), last);
+  else onRelayBroken(id);
+}
+
+void Gateway::onAnswerCut(AttemptId id) {
+  const auto it = relays_.find(id);
+  if (it == relays_.end()) return;
+  if (const auto client = it->second.client.lock()) client->cut();
+  if (const auto r = requests_.find(it->second.request); r != requests_.end())
+    count(r->second, http::status::bad_gateway);
+  endRelay(id);
+}
+
+void Gateway::onClientTook(RelayId id) {
+  const auto it = relays_.find(id);
+  if (it == relays_.end()) return;
+  if (!it->second.last) return pool_.readOn(id);
+  if (const auto r = requests_.find(it->second.request); r != requests_.end())
+    count(r->second, http::status::ok);
+  endRelay(id);
+}
+
+void Gateway::onRelayBroken(RelayId id) {
+  if (relays_.count(id) == 0) return;
+  pool_.giveUp(id);
+  endRelay(id);
+}
+
+void Gateway::endRelay(RelayId id) {
+  const auto it = relays_.find(id);
+  const RequestId request = it->second.request;
+  relays_.erase(it);
+  if (const auto r = requests_.find(request); r != requests_.end()) --r->second.out;
+  releaseIfOver(request);
 }
 
 void Gateway::cancel(RequestId request, std::uint32_t number) {
@@ -367,7 +471,7 @@
 }
 
 // Tells the module how an attempt ended; what was served goes to the client first.
-void Gateway::settle(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
+void Gateway::settle(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream, std::optional<Parted> parted) {
   const auto it = attempts_.find(id);
   if (it == attempts_.end()) return;
   const AttemptRecord a = it->second;
@@ -396,6 +500,7 @@
     Answer answered;
     answered.body = std::move(upstream.body);
     answered.contentType = std::move(upstream.contentType);
+    answered.parted = parted;
     answer(a.request, RequestEnd::served, std::move(answered), &upstream);
   }
   releaseIfOver(a.request);
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -73,7 +73,8 @@
     std::weak_ptr<ClientSession> client;
     std::shared_ptr<const ClientRequest> message;
     std::uint32_t classIndex = 0;
-    bool ended = false;  // answered, or the client has gone
+    bool arriving = false;  // more of its body is to come
+    bool ended = false;     // answered, or the client has gone
     boost::beast::http::status failure = boost::beast::http::status::bad_gateway;  // if it fails
     std::vector<AttemptId> attempts;
     std::size_t out = 0;
@@ -95,15 +96,29 @@
     std::string zone;
     std::int64_t cell = 0;
   };
+  struct RelayRecord {  // an answer that is passed on piece by piece
+    ridgeshift::RequestId request = 0;
+    std::weak_ptr<ClientSession> client;
+    bool last = false;  // nothing more comes from the host
+  };
   struct HeldAction {  // asked for by a stage, still to be carried out
     enum class Kind { answer, admit, abandon } kind;
     ridgeshift::RequestId request;
     Answer answer;
   };
 
-  void onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& request) override;
+  void onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& request,
+                       bool whole) override;
+  void onClientBody(ridgeshift::RequestId request, std::string&& piece, bool last) override;
+  void onClientTook(RelayId relay) override;
+  void onRelayBroken(RelayId relay) override;
   void onClientLeft(ridgeshift::RequestId request) override;
-  std::optional<UpstreamRequest> compose(AttemptId attempt) override;
+  std::optional<Outgoing> compose(AttemptId attempt) override;
+  void onWantBody(AttemptId attempt) override;
+  void onAnswerBegun(AttemptId attempt, UpstreamAnswer&& answer,
+                     std::optional<std::uint64_t> length) override;
+  void onAnswerPiece(AttemptId attempt, std::string&& piece, bool last) override;
+  void onAnswerCut(AttemptId attempt) override;
   void onOutcome(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer) override;
   void onHostList(HostList&& list) override;
   void onDiscoveryLost() override;
@@ -131,7 +146,9 @@
   void letGo(ridgeshift::RequestId request, RequestRecord& record);
   void carryOut(HeldAction&& action);
   void failHeld(Time now);
-  void settle(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer);
+  void settle(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer,
+              std::optional<Parted> parted = {});
+  void endRelay(RelayId relay);
   void releaseIfOver(ridgeshift::RequestId request);
   void forgetHosts();
   void armTimer();
@@ -158,7 +175,8 @@
   std::unordered_map<ridgeshift::HostId, HostRecord> hosts_;
   std::unordered_map<ridgeshift::RequestId, RequestRecord> requests_;
   std::unordered_map<AttemptId, AttemptRecord> attempts_;
-  std::set<std::pair<Time, AttemptId>> limits_;  // when attempts are given up
+  std::unordered_map<RelayId, RelayRecord> relays_;  // by their attempts
+  std::set<std::pair<Time, AttemptId>> limits_;      // when attempts are given up
   // Held by stages: until when, and what the module is asked when one is admitted.
   std::map<std::pair<Time, ridgeshift::RequestId>, ridgeshift::Request> held_;
   std::vector<HeldAction> heldActions_;
--- a/src/net/stage.hpp
+++ b/src/net/stage.hpp
@@ -68,6 +68,9 @@
   // Set by the stage that holds it: nothing of it runs, nor of what it waits for. If its time is up it is
   // refused and not failed.
   bool heldUnrun = false;
+  // Else `message` has the beginning of a body that is too long to be held: the rest goes to a host as it
+  // comes.
+  bool whole = true;
   std::vector<HeaderLine> toHost;                   // for every attempt from now on
   std::vector<std::unique_ptr<StageState>> states;  // one for each stage, by its place
 };
@@ -78,6 +81,7 @@
   bool fromHost = false;                               // else the gateway's own
   const boost::beast::http::fields* fields = nullptr;  // of the host; null: there are none
   std::string_view contentType, body;
+  bool whole = true;  // else `body` is the beginning of one that is too long to be held
 };
 
 // What a stage makes of a request that has arrived: with neither it goes on.
--- a/src/net/tuning.hpp
+++ b/src/net/tuning.hpp
@@ -11,10 +11,11 @@
 struct ClientTuning {
   // Longer than clients and fronts keep a connection unused.
   ridgeshift::Duration idle = std::chrono::seconds(120);
-  // For a whole request to come in. Danger: a client that dribbles or says nothing holds a descriptor. A
-  // first request counts from the accept on.
-  ridgeshift::Duration request = std::chrono::milliseconds(2200);
-  ridgeshift::Duration write = std::chrono::seconds(5);  // for an answer to be taken
+  // For the head of a request to come in, and in all for its body beyond what a slow line takes for it.
+  // Danger: a client that dribbles or says nothing holds a descriptor. A first request counts from the accept
+  // on.
+  ridgeshift::Duration request = std::chrono::milliseconds(2400);
+  ridgeshift::Duration write = std::chrono::seconds(5);  // in which a client takes nothing of its answer
 };
 
 struct GatewayTuning {
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cerrno>
 #include <chrono>
+#include <cstdio>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -23,6 +24,8 @@
 
 using std::chrono::milliseconds;
 
+// A host that shows no sign of life so long, in the midst of a body in either direction, gives no more.
+constexpr Duration kBodyStall = std::chrono::seconds(5);
 constexpr int kInterimMost = 8;  // 1xx answers ahead of one final answer
 
 // How long a last byte is held back: round trips as the connect took one, the second for what the other side
@@ -30,7 +33,8 @@
 constexpr int kProofTrips = 2;
 constexpr Duration kProofMost = milliseconds(20);
 
-Outcome outcomeOf(const http::response<http::string_body>& response) {
+template <class Response>
+Outcome outcomeOf(const Response& response) {
   const unsigned status = response.result_int();
   if (status == 200) return Outcome::served;
   // Danger: only the mark proves that it never ran.
@@ -75,18 +79,42 @@
     });
   }
 
-  void carry(AttemptId attempt, UpstreamRequest&& request, bool proveFirst) {
+  void carry(AttemptId attempt, Outgoing&& out, bool proveFirst) {
     attempt_ = attempt;
     reader_.restart();
     interims_ = 0;
+    relaying_ = false;
+    coming_ = !out.whole;
+    lastByteOut_ = false;
     std::ostringstream bytes;
-    bytes << request;
+    if (coming_) bytes << out.message.base();
+    else bytes << out.message;
     request_ = std::move(bytes).str();
-    lastByteOut_ = false;
+    if (coming_) {
+      chunked_ = out.message.chunked();
+      append(out.message.body());
+      watchEarly();
+      return write(0, request_.size());
+    }
     if (!proveFirst) return write(0, request_.size());
     write(0, request_.size() - 1);
   }
 
+  // The next piece of a body, asked for by `onWantBody`.
+  void feed(const std::string& piece, bool last) {
+    append(piece);
+    if (last && chunked_) request_ += "0\r\n\r\n";
+    coming_ = !last;
+    if (coming_) return request_.empty() ? wantBody() : write(0, request_.size());
+    // Danger: with nothing left to write the host would have all of it, and nobody would listen.
+    if (request_.empty()) return over(Outcome::reset);
+    write(0, request_.size() - 1);
+  }
+
+  void readOn() {
+    if (relaying_) advance();
+  }
+
   bool lastByteOut() const { return lastByteOut_; }
 
   bool alive() {  // danger: the host may have closed it a moment ago, with the news still in the queue
@@ -126,13 +154,33 @@
     pool_.connectEnded(self, good);
   }
 
+  void append(const std::string& piece) {
+    if (!chunked_) {
+      request_ += piece;
+      return;
+    }
+    if (piece.empty()) return;  // it would be the last one
+    char size[24];
+    request_.append(size,
+                    static_cast<std::size_t>(std::snprintf(size, sizeof size, "%zx\r\n", piece.size())));
+    request_.append(piece).append("\r\n");
+  }
+
+  void wantBody() { pool_.events_.onWantBody(attempt_); }
+
   void write(std::size_t from, std::size_t to) {
-    lastByteOut_ = to == request_.size();
+    lastByteOut_ = !coming_ && to == request_.size();
+    if (coming_) watchForStall(kBodyStall, Outcome::connectFailed);
     asio::async_write(socket_, asio::buffer(request_.data() + from, to - from),
                       [this, self = shared_from_this(), to](error_code error, std::size_t) {
                         if (closed_) return;
                         // An error here means that the last byte was never written: the host has not begun.
                         if (error) return over(Outcome::connectFailed);
+                        if (coming_) {
+                          stopTimer();
+                          request_.clear();
+                          return wantBody();
+                        }
                         if (to < request_.size()) return prove(to);
                         ++pool_.sends_;
                         request_.clear();
@@ -148,13 +196,20 @@
   // It does harm where something between answers for the host, or keeps bytes back until the request is
   // whole: then it proves nothing and costs its time; and where a host gives a begun request no time at all.
   void prove(std::size_t at) {
+    stopTimer();
     timer_.expires_after(proofTime());
     timer_.async_wait([this, self = shared_from_this(), at](error_code stopped) {
       if (stopped || closed_) return;
       if (alive()) return write(at, request_.size());
       over(Outcome::connectFailed);
     });
+    watchEarly();
+  }
+
+  void watchEarly() {
+    if (std::exchange(watchingEarly_, true)) return;
     socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code) {
+      watchingEarly_ = false;
       // Bytes that come ahead of the whole request are no answer to it.
       if (!closed_ && attempt_ != 0 && !lastByteOut_ && !alive()) over(Outcome::connectFailed);
     });
@@ -166,10 +221,10 @@
   }
 
   void read() {
-    socket_.async_read_some(buffer_.prepare(kReadMost),
+    socket_.async_read_some(buffer_.prepare(relaying_ ? kPieceMost : kReadMost),
                             [this, self = shared_from_this()](error_code error, std::size_t n) {
                               if (closed_) return;
-                              if (error) return over(Outcome::reset);
+                              if (error) return broken();
                               buffer_.commit(n);
                               advance();
                             });
@@ -181,13 +236,19 @@
     using Step = MessageReader<false>::Step;
     error_code error;
     for (;;) switch (reader_.step(buffer_, error)) {
-        case Step::bad: return over(Outcome::reset);
+        case Step::bad: return broken();
         case Step::head:
           if (reader_.parser().need_eof()) return over(Outcome::reset);  // cut short, it would look the same
+          if (reader_.parser().content_length().value_or(0) > kWholeMost) return begin();
           break;
-        case Step::more: watchForStall(); return read();
+        case Step::more:
+          if (relaying_ && reader_.bodyHeld() > 0) return pass(false);
+          if (reader_.bodyHeld() > kWholeMost) return begin();
+          watchForStall(relaying_ ? kBodyStall : pool_.limits_.answerMost, Outcome::reset);
+          return read();
         case Step::whole:
           stopTimer();
+          if (relaying_) return pass(true);
           if (reader_.parser().get().result_int() >= 200) return answered();
           if (++interims_ > kInterimMost) return over(Outcome::reset);
           reader_.restart();  // the final answer follows
@@ -197,23 +258,74 @@
 
   // Danger: a spoilt answer may leave its connection open and say no more. A host sends an answer in one go,
   // so one that has begun has to end within the time in which a host shows any sign of life.
-  void watchForStall() {
+  void watchForStall(Duration most, Outcome outcome) {
     if (std::exchange(timed_, true)) return;
-    timer_.expires_after(pool_.limits_.answerMost);
-    timer_.async_wait([this, self = shared_from_this()](error_code stopped) {
-      if (!stopped && !closed_ && timed_) over(Outcome::reset);
+    timer_.expires_after(most);
+    timer_.async_wait([this, self = shared_from_this(), outcome](error_code stopped) {
+      if (stopped || closed_ || !timed_) return;
+      if (relaying_) broken();
+      else over(outcome);
     });
   }
 
+  // An answer that is longer than is held whole. Of one that is not served only the head counts.
+  void begin() {
+    stopTimer();
+    const auto& head = reader_.parser().get();
+    const Outcome outcome = outcomeOf(head);
+    UpstreamAnswer answer;
+    answer.status = head.result_int();
+    if (outcome != Outcome::served) {
+      const auto self = shared_from_this();
+      const AttemptId attempt = std::exchange(attempt_, 0);
+      drop(self);
+      return pool_.settle(attempt, outcome, std::move(answer));
+    }
+    relaying_ = true;
+    answer.contentType = std::string(head[http::field::content_type]);
+    answer.head = static_cast<const http::fields&>(head.base());
+    std::optional<std::uint64_t> length;
+    if (const auto known = reader_.parser().content_length()) length = *known;
+    answer.body = reader_.takeBody();
+    pool_.events_.onAnswerBegun(attempt_, std::move(answer), length);
+  }
+
+  void pass(bool last) {
+    stopTimer();
+    std::string piece = reader_.takeBody();
+    if (!last) return pool_.events_.onAnswerPiece(attempt_, std::move(piece), false);
+    const auto self = shared_from_this();
+    const AttemptId attempt = std::exchange(attempt_, 0);
+    relaying_ = false;
+    pool_.attempts_.erase(attempt);
+    if (reusable()) pool_.assign(self);
+    else drop(self);
+    pool_.events_.onAnswerPiece(attempt, std::move(piece), true);
+  }
+
+  // The request may have run. What has been begun can't be made good; its client is to see that it is not
+  // whole.
+  void broken() {
+    if (!relaying_) return over(Outcome::reset);
+    const auto self = shared_from_this();
+    const AttemptId attempt = std::exchange(attempt_, 0);
+    relaying_ = false;
+    pool_.attempts_.erase(attempt);
+    drop(self);
+    pool_.events_.onAnswerCut(attempt);
+  }
+
+  // Bytes behind the answer belong to nothing that we asked for: no next answer may be read from there.
+  bool reusable() { return reader_.parser().keep_alive() && buffer_.size() == 0 && alive(); }
+
   void stopTimer() {
     if (std::exchange(timed_, false)) timer_.cancel();
   }
 
   void answered() {
     const auto self = shared_from_this();
-    // Bytes behind the answer belong to nothing that we asked for: no next answer may be read from there.
-    const bool reusable = reader_.parser().keep_alive() && buffer_.size() == 0;
-    http::response<http::string_body> response = reader_.parser().release();
+    const bool again = reusable();
+    http::response<http::string_body> response = reader_.takeMessage();
     UpstreamAnswer answer;
     const Outcome outcome = outcomeOf(response);
     answer.status = response.result_int();
@@ -224,7 +336,7 @@
     answer.head = std::move(static_cast<http::fields&>(response.base()));
     const AttemptId attempt = std::exchange(attempt_, 0);
     // Danger: the next attempt is started by what we tell of this one; the connection has to be free first.
-    if (reusable && alive()) pool_.assign(self);
+    if (again) pool_.assign(self);
     else drop(self);
     pool_.settle(attempt, outcome, std::move(answer));
   }
@@ -252,7 +364,10 @@
   AttemptId attempt_ = 0;
   int interims_ = 0;
   bool closed_ = false, connecting_ = true, watching_ = false;
-  bool timed_ = false;  // an answer has begun and has to end in time
+  bool timed_ = false;                     // something that has begun has to go on in time
+  bool coming_ = false, chunked_ = false;  // the request: more of its body is to be fed
+  bool relaying_ = false;                  // the answer goes on piece by piece
+  bool watchingEarly_ = false;
 };
 
 UpstreamPool::UpstreamPool(asio::io_context& io, const Clock& clock, Limits limits, UpstreamEvents& events)
@@ -286,7 +401,7 @@
 
 // Writes the attempt on the connection, unless the gateway no longer wants it to go out.
 bool UpstreamPool::put(AttemptId id, const std::shared_ptr<Connection>& connection) {
-  std::optional<UpstreamRequest> request = events_.compose(id);
+  std::optional<Outgoing> request = events_.compose(id);
   if (!request) {
     asio::post(io_, [this, id] { fail(id); });
     return false;
@@ -339,6 +454,19 @@
   connectMore(connection->host);
 }
 
+UpstreamPool::Connection* UpstreamPool::carrier(AttemptId id) {
+  const auto it = attempts_.find(id);
+  return it == attempts_.end() ? nullptr : it->second.connection.get();
+}
+
+void UpstreamPool::feed(AttemptId id, std::string&& piece, bool last) {
+  if (Connection* const c = carrier(id)) c->feed(piece, last);
+}
+
+void UpstreamPool::readOn(AttemptId id) {
+  if (Connection* const c = carrier(id)) c->readOn();
+}
+
 bool UpstreamPool::giveUp(AttemptId id) {
   const auto it = attempts_.find(id);
   if (it == attempts_.end()) return false;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -29,13 +29,27 @@
   boost::beast::http::fields head;  // of a whole answer, whatever its status
 };
 
+struct Outgoing {
+  UpstreamRequest message;
+  bool whole = true;  // else more of its body follows: by its Content-Length, or chunked if it has none
+};
+
 class UpstreamEvents {
  public:
   virtual ~UpstreamEvents() = default;
   // Called right before the first byte would be written; nothing goes out if it returns none.
-  virtual std::optional<UpstreamRequest> compose(AttemptId attempt) = 0;
-  // Once for each attempt that was not given up; never from within a call of UpstreamPool.
+  virtual std::optional<Outgoing> compose(AttemptId attempt) = 0;
+  // What there was of a request that is not whole has been written; `feed` has the next piece.
+  virtual void onWantBody(AttemptId attempt) = 0;
+  // Once for each attempt that was not given up, unless its answer has begun; never from within a call of
+  // UpstreamPool.
   virtual void onOutcome(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer) = 0;
+  // A served answer that is too long to be held whole, with its body as far as it has come. Each further
+  // piece waits for `readOn`; the last one, or a cut, ends the attempt.
+  virtual void onAnswerBegun(AttemptId attempt, UpstreamAnswer&& answer,
+                             std::optional<std::uint64_t> length) = 0;
+  virtual void onAnswerPiece(AttemptId attempt, std::string&& piece, bool last) = 0;
+  virtual void onAnswerCut(AttemptId attempt) = 0;
 };
 
 class UpstreamPool {
@@ -57,6 +71,8 @@
             bool proveFirst = false);
   // Closes the attempt's connection; no outcome comes any more. True if its last byte may have gone out.
   bool giveUp(AttemptId attempt);
+  void feed(AttemptId attempt, std::string&& piece, bool last);
+  void readOn(AttemptId attempt);
   void setOpen(ridgeshift::HostId host, bool open);  // not open: connections are not kept
   bool forget(ridgeshift::HostId host);              // false while an attempt or connection is there
   void tune(std::size_t connecting, Duration proofLeast) {
@@ -92,6 +108,7 @@
   bool put(AttemptId attempt, const std::shared_ptr<Connection>& connection);
   void connectMore(ridgeshift::HostId host);
   void connectEnded(const std::shared_ptr<Connection>& connection, bool good);
+  Connection* carrier(AttemptId attempt);  // null: it has none, or is over
   void settle(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer = {});
   void fail(AttemptId attempt);
 
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <stdexcept>
+#include <utility>
 
 #include "policy/message.hpp"
 #include "ridgeshift/ridgeshift.hpp"
@@ -584,7 +585,7 @@
   }
 
   bool canSend(const Open& r) const {
-    return lastUse(r) > now && r.count < std::min<std::size_t>(set.maxAttempts, kTries);
+    return lastUse(r) > now && r.count < std::min<std::size_t>(r.once ? 1 : set.maxAttempts, kTries);
   }
 
   bool send(Open& r, HostId id, bool advised = false) {
@@ -592,8 +593,8 @@
     Host& h = hosts[id];
     if (isCold(h)) h.coldTokens -= 1;
     r.tries[r.count] = {id, now, true, true, false};
-    h.sent.push_back(r.id);
-    ++h.inflight;
+    if (!r.coming) h.sent.push_back(r.id);
+    h.inflight += !r.coming;
     ++h.refs;
     ++r.out;
     emit(ActionKind::send, r.id, r.count++, id, patience(r));
@@ -762,6 +763,8 @@
     r.key = q.key;
     r.hasKey = q.hasKey;
     r.earlier = q.earlier;
+    r.once = r.coming = q.arriving;
+    r.came = now;
     r.deadline = now + q.left;
     // Clients give single tries the same time, and a later one what is left of their total wait. A try whose
     // time is not the usual one (a running median) tells how much was spent before; that no longer earns.
@@ -790,7 +793,7 @@
     } else if (r.score < cut) {
       refuse(r);
     } else {
-      guards.push({r.deadline - set.step, r.id});
+      if (!r.coming) guards.push({r.deadline - set.step, r.id});
       if (!route(r)) finish(r);
     }
   }
@@ -803,7 +806,7 @@
     Host& h = hosts[t.host];
     t.out = false;
     --r.out;
-    --h.inflight;
+    h.inflight -= !r.coming;
     if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
       t.mayHaveRun = false;
     judge(t.host, r, a);
@@ -822,6 +825,21 @@
     else finish(r);
   }
 
+  // Danger: a body that comes slowly would look like a host that is slow or silent, and like load where a host
+  // does nothing yet.
+  Duration onArrived(RequestId id) {
+    Open* r = find(id);
+    if (!r || !std::exchange(r->coming, false) || r->ended || r->out == 0) return {};
+    r->aimAt += now - r->came;
+    r->deadline += now - r->came;
+    guards.push({r->deadline - set.step, id});
+    Try& t = r->tries[r->count - 1];
+    t.at = now;
+    hosts[t.host].sent.push_back(id);
+    ++hosts[t.host].inflight;
+    return patience(*r);
+  }
+
   void onAnswerStarted(RequestId id, std::uint32_t attempt) {
     Open* r = find(id);
     if (!r || r->ended || attempt >= r->count) return;
@@ -989,6 +1007,11 @@
 void Balancer::onRequest(Time now, const Request& request) {
   impl_->at(now, [&](Impl& i) { i.onRequest(request); });
 }
+Duration Balancer::onArrived(Time now, RequestId request) {
+  Duration span{};
+  impl_->at(now, [&](Impl& i) { span = i.onArrived(request); });
+  return span;
+}
 void Balancer::onAnswerStarted(Time now, RequestId request, std::uint32_t attempt) {
   impl_->at(now, [&](Impl& i) { i.onAnswerStarted(request, attempt); });
 }
