A process that is replaced hands its clients' connections to the next one

Tests: a full channel, noise with descriptors, a stale name, a next process that dies, two programs that share a listener.

--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -22,6 +22,7 @@
 #include "app/key_owners.hpp"
 #include "app/operator_file.hpp"
 #include "app/ops_desk.hpp"
+#include "app/succession.hpp"
 #include "hook/files.hpp"
 #include "hook/stage.hpp"
 #include "idempotency/stage.hpp"
@@ -78,6 +79,9 @@
     attachIdempotency();
     if (config_.ops) desk_ = std::make_unique<OpsDesk>(io_, clock_, config_, opsFile(config_.name), gateway_);
     gateway_.start();
+    if (const std::string path = successionPath(config_.name);
+        config_.inheritedListener >= 0 && !path.empty())
+      succession_ = std::make_unique<Succession>(io_, path, config_.name, gateway_);
     io_.run();
   }
 
@@ -93,11 +97,19 @@
     signals_.async_wait([this](const boost::system::error_code& error, int signal) {
       if (error) return;
       if (signal == SIGHUP) reload();
-      else gateway_.drain([this] { io_.stop(); });
+      else drain();
       waitForSignal();  // they may come again, and while draining
     });
   }
 
+  void drain() {
+    gateway_.drain([this] {
+      if (succession_) succession_->over();
+      io_.stop();
+    });
+    if (succession_) succession_->begin();
+  }
+
   // Danger: a file that is half written or wrong must not end a gateway that serves; the old one stays in
   // force, in full. The two files stand for themselves: the platform writes one, the operator the other.
   void reload() {
@@ -202,6 +214,7 @@
   std::unique_ptr<KeyOwners> keyOwners_;
   Gateway gateway_;
   std::unique_ptr<OpsDesk> desk_;
+  std::unique_ptr<Succession> succession_;
   bool attached_ = false;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer report_;
--- /dev/null
+++ b/src/app/succession.cpp
@@ -0,0 +1,107 @@
+#include "app/succession.hpp"
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <exception>
+#include <utility>
+
+#include "app/ops_desk.hpp"
+
+namespace finchstile {
+
+using handover::Channel;
+using handover::Kind;
+using handover::Message;
+
+Succession::Succession(boost::asio::io_context& io, std::string path, std::string name, Gateway& gateway)
+    : io_(io), path_(std::move(path)), name_(std::move(name)), gateway_(gateway) {
+  predecessor_ = handover::connectTo(io_, path_);
+  if (!predecessor_) {
+    openDoor();
+    return;
+  }
+  predecessor_->onMessage = [this](const Message& m, std::unique_ptr<Descriptor> client) {
+    if (m.kind != Kind::client) return;
+    ++taken_;
+    gateway_.adoptClient(client->release());
+  };
+  predecessor_->onEnd = [this] {
+    std::fprintf(stderr, "handover: took over %zu connections at rest\n", taken_);
+    predecessor_.reset();
+    openDoor();
+  };
+  predecessor_->start();
+  predecessor_->send({Kind::hello, name_});
+}
+
+Succession::~Succession() {
+  for (const auto& channel : {predecessor_, knocking_, successor_})
+    if (channel) channel->close();
+}
+
+// Danger: while the last process serves the name is its own; a next one that dies at its start must not take
+// it along.
+void Succession::openDoor() {
+  try {
+    door_ = std::make_unique<handover::Door>(
+        io_, path_, [this](std::shared_ptr<Channel> channel) { onSuccessor(channel); });
+  } catch (const std::exception& bad) {
+    std::fprintf(stderr, "handover: no next process can be found: %s\n", bad.what());
+  }
+}
+
+void Succession::onSuccessor(const std::shared_ptr<Channel>& channel) {
+  if (knocking_) knocking_->close();
+  knocking_ = channel;
+  channel->onMessage = [this](const Message& m, std::unique_ptr<Descriptor>) {
+    if (m.kind != Kind::hello || !knocking_) return;
+    const auto who = std::exchange(knocking_, nullptr);
+    if (m.name != name_) return who->close();
+    if (successor_) successor_->close();  // the latest one it is
+    successor_ = who;
+    who->send({Kind::welcome, name_});
+    if (giving_) begin();
+  };
+  channel->onEnd = [this, gone = std::weak_ptr<Channel>(channel)] {
+    const auto who = gone.lock();
+    if (who == knocking_) knocking_.reset();
+    if (who == successor_) lostSuccessor();
+  };
+  channel->start();
+}
+
+void Succession::begin() {
+  giving_ = true;
+  if (!successor_) return;
+  gateway_.handOver([this](int fd) {
+    if (!successor_) return false;
+    switch (successor_->send({Kind::client, {}}, fd)) {
+      case Channel::Sent::done: ++given_; return true;
+      case Channel::Sent::full: return false;
+      case Channel::Sent::broken: break;
+    }
+    return false;  // its end is told soon
+  });
+}
+
+void Succession::lostSuccessor() {
+  successor_.reset();
+  if (!giving_) return;
+  std::fprintf(stderr, "handover: the next process is lost after %zu connections; the others are closed\n",
+               given_);
+  gateway_.handOver({});
+}
+
+void Succession::over() {
+  if (!successor_) return;
+  successor_->send({Kind::bye, {}});
+  std::fprintf(stderr, "handover: gave %zu connections to the next process\n", given_);
+}
+
+std::string successionPath(const std::string& name) {
+  const std::string beside = opsFile(name);
+  return beside.empty() ? beside : beside.substr(0, beside.size() - 4) + ".next";
+}
+
+}  // namespace finchstile
--- a/src/base/descriptor.hpp
+++ b/src/base/descriptor.hpp
@@ -3,6 +3,8 @@
 
 #include <unistd.h>
 
+#include <utility>
+
 namespace finchstile {
 
 class Descriptor {
@@ -14,6 +16,7 @@
   Descriptor(const Descriptor&) = delete;
   Descriptor& operator=(const Descriptor&) = delete;
   int get() const { return fd_; }
+  int release() { return std::exchange(fd_, -1); }  // the caller's from then on
 
  private:
   int fd_;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -52,7 +53,7 @@
       pause_(io),
       inherited_(inherited >= 0) {
   if (inherited_) {
-    adopt(at, inherited);
+    takeOver(at, inherited);
   } else {
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
@@ -64,7 +65,7 @@
 
 // Danger: another descriptor under that number, a file of ours or a socket of somebody else's, would be taken
 // for the clients' door.
-void Listener::adopt(const tcp::endpoint& at, int fd) {
+void Listener::takeOver(const tcp::endpoint& at, int fd) {
   const auto fail = [fd](const std::string& what) {
     throw std::runtime_error("the inherited descriptor " + std::to_string(fd) + " " + what);
   };
@@ -108,6 +109,23 @@
   session->start();
 }
 
+void Listener::adopt(int fd) {
+  tcp::socket socket(io_);
+  error_code error;
+  socket.assign(acceptor_.is_open() ? acceptor_.local_endpoint(error).protocol() : tcp::v4(), fd, error);
+  if (error) ::close(fd);
+  else take(std::move(socket));
+}
+
+// Danger: what we have read of a next request would be missing there. What the kernel holds goes along.
+bool Listener::giveAway(ClientSession& s) {
+  if (!give_ || s.buffer_.size() > 0 || (s.state_ != State::idle && s.state_ != State::fresh) || s.begun_)
+    return false;
+  if (!give_(s.socket_.native_handle())) return false;
+  s.close();  // ours; the connection lives on with the other
+  return true;
+}
+
 // No place for it: told so at once, and a refusal is harmless as nothing of it was passed on.
 void Listener::turnAway(tcp::socket socket) {
   char dropped[4096];
@@ -174,6 +192,9 @@
       if (s.overdue()) s.tooSlow();
     });
   each(State::waiting, [](ClientSession& s) { s.lookForEnd(); });
+  if (give_)
+    for (const State state : {State::idle, State::fresh})
+      each(state, [this](ClientSession& s) { giveAway(s); });
   const bool ending = draining_ && !acceptor_.is_open();
   if (away_ != Time{} ? clock_.now() < away_ : !ending) return;
   each(State::idle, [](ClientSession& s) { s.closeIdle(); });
@@ -261,6 +282,7 @@
   begun_ = buffer_.size() > 0;
   enter(begun_ ? State::reading : State::idle);
   if (begun_) return advance();
+  if (listener_.giveAway(*this)) return;
   listener_.trimIdle();
   if (buffer_.capacity() > kReadMost) buffer_ = beast::flat_buffer(kBufferMost + kReadMost);
   await();
@@ -393,7 +415,7 @@
 void ClientSession::startHead(const Answer& a, std::optional<std::uint64_t> length) {
   enter(State::writing);
   if (std::exchange(partial_, false)) keepAlive_ = false;
-  keepAlive_ = keepAlive_ && !a.close && !listener_.draining();
+  keepAlive_ = keepAlive_ && !a.close && !listener_.closesAfterAnswer();
   const auto line = [this](std::string_view name, std::string_view value) {
     out_.append(name).append(": ").append(value).append("\r\n");
   };
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -82,8 +83,14 @@
   // The same, and connections at rest are closed from `restEnds` on; accepts as before. `takeBack` ends it.
   void sendAway(Time restEnds) { away_ = restEnds; }
   void takeBack() { away_ = Time{}; }
+  // Connections at rest go to another process, one by one, as soon as they rest; answers leave them open.
+  // `give` takes a copy of the descriptor, and is asked again later if it says no. An empty one ends it.
+  void handOver(std::function<bool(int fd)> give) { give_ = std::move(give); }
+  // A connection of a client at rest, from another process; the descriptor is ours, also if it is of no use.
+  void adopt(int fd);
   void close();  // takes in what waits in the accept queue, then stops accepting
   bool draining() const { return draining_ || away_ != Time{}; }
+  bool closesAfterAnswer() const { return draining() && !give_; }
   std::size_t size() const { return size_; }
 
  private:
@@ -93,13 +100,14 @@
   enum class State { fresh, idle, reading, waiting, writing, passing, lingering, closed };
   using Sessions = std::list<std::shared_ptr<ClientSession>>;
 
-  void adopt(const tcp::endpoint& at, int fd);
+  void takeOver(const tcp::endpoint& at, int fd);
   void accept();
   void take(tcp::socket socket);
   void turnAway(tcp::socket socket);
   Sessions& in(State state) { return sessions_[static_cast<std::size_t>(state)]; }
   Duration age(State state) const;  // of the one that has been in it for the longest; below 0: none is
   void trimIdle();
+  bool giveAway(ClientSession& session);
   void endOldest(State state);
   Duration limit(State state) const;
 
@@ -114,6 +122,7 @@
   std::size_t size_ = 0;
   const bool inherited_;
   bool draining_ = false;
+  std::function<bool(int)> give_;
   Time away_{};  // clients are sent away, and none may rest from then on; 0: they are not
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -106,6 +106,12 @@
   armTimer();
 }
 
+void Gateway::handOver(std::function<bool(int)> give) {
+  const bool ends = !give;
+  listener_.handOver(std::move(give));
+  if (ends && draining_) listener_.sendAway(clock_.now() + kRestAfterAway);
+}
+
 bool Gateway::ready() const { return !draining_ && !away_ && !hosts_.empty(); }
 
 void Gateway::sendAway() {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -60,6 +60,10 @@
   void tune(const GatewayTuning& tuning);
   // Ready no more; answers what was and still is taken; `done` is called once when nothing is left.
   void drain(std::function<void()> done);
+  // Clients' connections go to another process as they come to rest, in place of being closed; `Listener`
+  // says how. An empty one ends that: they are closed again.
+  void handOver(std::function<bool(int fd)> give);
+  void adoptClient(int fd) { listener_.adopt(fd); }
 
   tcp::endpoint endpoint() const { return listener_.endpoint(); }
   std::size_t openRequests() const { return requests_.size(); }
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -198,5 +198,128 @@
   EXPECT_EQ(host.received.size(), 2u);
 }
 
+// The platform keeps the listening socket, starts the next process beside the last, and ends that one when
+// the next is ready. Operators call each at an address of its own.
+struct OperatedTest : ProgramTest {
+  tcp::acceptor kept{io, loopback()};
+  std::vector<std::unique_ptr<Server>> hosts;
+  std::unique_ptr<Process> next;
+
+  OperatedTest() {
+    for (int i = 0; i < 2; ++i)
+      hosts.push_back(
+          std::make_unique<Server>(io, [](const auto& peer, const Received&) { peer->reply(200, "ok"); }));
+    setenv("TMPDIR", folder.path().c_str(), 1);
+    setenv("LB_INHERITED_FD", "3", 1);
+  }
+  ~OperatedTest() override {
+    unsetenv("TMPDIR");
+    unsetenv("LB_INHERITED_FD");
+  }
+  std::unique_ptr<Process> launch(const tcp::endpoint& ops, const std::string& name) {
+    json config = configJson(discovery.endpoint(), json::array({hostJson("s-0", hosts[0]->endpoint()),
+                                                                hostJson("s-1", hosts[1]->endpoint())}));
+    config["listen"] = text(kept.local_endpoint());
+    config["ops"] = text(ops);
+    folder.write(name, config.dump());
+    setenv("LB_CONFIG", (folder / name).c_str(), 1);
+    return std::make_unique<Process>(FINCHSTILE_PROGRAM, std::vector<std::string>{}, folder / (name + ".log"),
+                                     kept.native_handle());
+  }
+  tcp::endpoint freePort() { return tcp::acceptor(io, loopback()).local_endpoint(); }
+  // Status and body; 0 if nobody is there.
+  std::pair<unsigned, std::string> call(const tcp::endpoint& at, const std::string& what) {
+    try {
+      const auto c = Client::connect(io, at);
+      c->write(what + " HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n");
+      if (!until([&] { return c->answers.size() == 1 || c->ended; }) || c->answers.empty()) return {};
+      return {c->answers[0].result_int(), c->answers[0].body()};
+    } catch (const std::exception&) {
+      return {};
+    }
+  }
+  bool becomesReady(const tcp::endpoint& at) {
+    return until([&] { return call(at, "GET /api/ready").first == 200; });
+  }
+  void ask(const std::shared_ptr<Client>& c, int times) {
+    for (int i = 0; i < times; ++i) {
+      const std::size_t before = c->answers.size();
+      c->ask("GET", "/read", 2500);
+      ASSERT_TRUE(until([&] { return c->answers.size() > before || c->ended; }));
+      ASSERT_GT(c->answers.size(), before);
+      EXPECT_EQ(c->answers.back().result_int(), 200u);
+    }
+  }
+};
+
+TEST_F(OperatedTest, AProcessIsReplacedUnderItsClientsAndWhatIsOutByHandStaysOut) {
+  const tcp::endpoint ops = freePort(), opsNext = freePort();
+  program = launch(ops, "first");
+  ASSERT_TRUE(becomesReady(ops)) << program->logged();
+  const auto c = Client::connect(io, kept.local_endpoint()),
+             resting = Client::connect(io, kept.local_endpoint());
+  ask(c, 20);
+  ask(resting, 1);
+  EXPECT_EQ(call(ops, "PUT /api/exclude/s-9").first, 404u);
+  EXPECT_EQ(call(ops, "PUT /api/exclude/s-0").first, 200u);
+  EXPECT_EQ(call(ops, "PUT /api/exclude/s-0").first, 200u);  // arrives twice
+  const std::size_t before = hosts[0]->received.size();
+  ask(c, 20);
+  const std::string figures = call(ops, "GET /api/telemetry").second;
+  EXPECT_NE(figures.find("lb_transactions_total{group=\"read\",state=\"answered\"} 41\n"), std::string::npos)
+      << figures;
+  EXPECT_NE(figures.find("lb_sends_total 41\n"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("lb_cluster_size 2\n"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("lb_cluster_unhealthy 1\n"), std::string::npos) << figures;
+  next = launch(opsNext, "second");
+  ASSERT_TRUE(becomesReady(opsNext)) << next->logged();
+  program->signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_EQ(program->wait(), 0);
+  EXPECT_FALSE(c->ended || resting->ended) << program->logged() << next->logged();
+  ask(c, 20);  // over the same connection, now at the next process
+  ask(resting, 1);
+  const auto fresh = Client::connect(io, kept.local_endpoint());
+  ask(fresh, 5);
+  EXPECT_EQ(hosts[0]->received.size(), before);                  // out by hand, at the next process too
+  EXPECT_EQ(call(opsNext, "PUT /api/include/s-0").first, 200u);  // one call back undoes both
+  EXPECT_NE(call(opsNext, "GET /api/telemetry").second.find("lb_cluster_unhealthy 0\n"), std::string::npos);
+  next->signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return next->ended(); }));
+  EXPECT_TRUE(until([&] { return c->ended; }));
+}
+
+// Hard case: the next process dies before it is ready. The last one serves on, and the one after it finds it.
+TEST_F(OperatedTest, ANextProcessThatDiesLeavesTheLastOneAsItWas) {
+  const tcp::endpoint ops = freePort();
+  program = launch(ops, "first");
+  ASSERT_TRUE(becomesReady(ops));
+  const auto c = Client::connect(io, kept.local_endpoint());
+  ask(c, 2);
+  const tcp::endpoint opsNext = freePort(), opsThird = freePort();
+  next = launch(opsNext, "second");
+  ASSERT_TRUE(becomesReady(opsNext));
+  next.reset();  // killed
+  ask(c, 2);
+  next = launch(opsThird, "third");
+  ASSERT_TRUE(becomesReady(opsThird));
+  program->signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_FALSE(c->ended) << program->logged();
+  ask(c, 2);
+}
+
+TEST_F(OperatedTest, ADescriptorThatIsNoListenerEndsTheStartWithALineThatSaysWhy) {
+  setenv("LB_INHERITED_FD", "0", 1);
+  program = launch(freePort(), "first");
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_EQ(program->wait(), 1);
+  EXPECT_NE(program->logged().find("the inherited descriptor 0 is no listening socket"), std::string::npos);
+  setenv("LB_INHERITED_FD", "three", 1);
+  program = launch(freePort(), "first");
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_NE(program->logged().find("LB_INHERITED_FD is 'three'"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace finchstile::testing
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -170,6 +170,81 @@
   EXPECT_TRUE(queued->answers[0].keep_alive());
 }
 
+// The next process takes over the connections themselves: none is closed under its client.
+TEST_F(OperationsTest, ConnectionsGoToTheNextGatewayAsTheyComeToRest) {
+  std::shared_ptr<Peer> holder;
+  host([&](const auto& peer, const Received& r) {
+    if (r.target() == "/read/held") holder = peer;
+    else peer->reply(200, "ok");
+  });
+  tcp::acceptor kept(io, loopback());
+  const auto make = [&] {
+    Config config = readConfig(configJson(discovery.endpoint(), listed()).dump(), clock);
+    config.listen = kept.local_endpoint();
+    config.inheritedListener = ::dup(kept.native_handle());
+    return std::make_unique<Gateway>(io, clock, std::move(config));
+  };
+  gateway = make();
+  gateway->start();
+  std::vector<std::shared_ptr<Client>> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.push_back(Client::connect(io, kept.local_endpoint()));
+    clients[i]->ask("GET", "/read", 2500);
+    ASSERT_TRUE(until([&] { return clients[i]->answers.size() == 1; }));
+  }
+  const auto fresh = Client::connect(io, kept.local_endpoint());
+  clients[4]->ask("GET", "/read/held", 2900);
+  ASSERT_TRUE(until([&] { return received() == 6 && gateway->clientConnections() == 6; }));
+  const auto next = make();  // serves beside it, but its listener is not asked yet
+  int done = 0;
+  bool full = true;  // at first the other does not take any
+  gateway->drain([&] { ++done; });
+  gateway->handOver([&](int fd) {
+    if (full) return false;
+    next->adoptClient(::dup(fd));
+    return true;
+  });
+  clients[0]->ask("GET", "/read", 2500);  // under way as it drains: answered here, and left open
+  ASSERT_TRUE(until([&] { return clients[0]->answers.size() == 2; }));
+  EXPECT_TRUE(clients[0]->answers[1].keep_alive());
+  full = false;
+  ASSERT_TRUE(until([&] { return next->clientConnections() == 5; }));
+  EXPECT_EQ(gateway->clientConnections(), 1u);  // the one whose answer is still owed
+  EXPECT_EQ(done, 0);
+  next->start();
+  for (int i = 0; i < 4; ++i) clients[i]->ask("GET", "/read", 2500);
+  fresh->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return fresh->answers.size() == 1 && next->figures().classes[0].answered == 5; }));
+  for (const auto& peer : hosts[0]->peers)
+    if (peer == holder) peer->reply(200, "late");
+  ASSERT_TRUE(until([&] { return done == 1; }));
+  EXPECT_EQ(next->clientConnections(), 6u);
+  for (const auto& c : clients) EXPECT_FALSE(c->ended);
+  EXPECT_FALSE(fresh->ended);
+}
+
+// Hard case: the next process is lost in the midst of it. What is left is told to go, and closed in time.
+TEST_F(OperationsTest, WithoutTheNextGatewayConnectionsAreClosedAsEver) {
+  host(serveOk);
+  tcp::acceptor kept(io, loopback());
+  Config config = readConfig(configJson(discovery.endpoint(), listed()).dump(), clock);
+  config.listen = kept.local_endpoint();
+  config.inheritedListener = ::dup(kept.native_handle());
+  gateway = std::make_unique<Gateway>(io, clock, std::move(config));
+  gateway->start();
+  const auto resting = client(), busy = client();
+  busy->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return busy->answers.size() == 1 && gateway->clientConnections() == 2; }));
+  int done = 0;
+  gateway->drain([&] { ++done; });
+  gateway->handOver([](int) { return false; });
+  gateway->handOver({});
+  busy->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return busy->answers.size() == 2; }));
+  EXPECT_FALSE(busy->answers[1].keep_alive());
+  ASSERT_TRUE(until([&] { return resting->ended && busy->ended && done == 1; }));
+}
+
 TEST_F(OperationsTest, ADescriptorThatIsNoListenerOfOursIsTurnedDown) {
   Config config = readConfig(configJson(discovery.endpoint(), json::array()).dump(), clock);
   const auto fails = [&](int fd) {
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -31,6 +31,7 @@
   }
   Folder(const Folder&) = delete;
   Folder& operator=(const Folder&) = delete;
+  const std::string& path() const { return path_; }
   std::string operator/(const std::string& name) const { return path_ + "/" + name; }
   std::string write(const std::string& name, const std::string& bytes) const {
     std::ofstream(*this / name, std::ios::trunc | std::ios::binary) << bytes;
@@ -49,19 +50,24 @@
 
 class Process {
  public:
-  // Standard output and error go to `log`.
-  Process(const std::string& program, std::vector<std::string> arguments, const std::string& log)
+  // Standard output and error go to `log`. `inherited`: a descriptor that it has as number 3; below 0: none.
+  Process(const std::string& program, std::vector<std::string> arguments, const std::string& log,
+          int inherited = -1)
       : log_(log) {
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     posix_spawn_file_actions_adddup2(&files, STDERR_FILENO, STDOUT_FILENO);
+    // Danger: with both numbers the same, dup2 would leave it to be closed on exec.
+    const int copy = inherited >= 0 ? ::fcntl(inherited, F_DUPFD_CLOEXEC, 100) : -1;
+    if (copy >= 0) posix_spawn_file_actions_adddup2(&files, copy, 3);
     arguments.insert(arguments.begin(), program);
     std::vector<char*> argv;
     for (std::string& a : arguments) argv.push_back(a.data());
     argv.push_back(nullptr);
     const int failed = posix_spawn(&pid_, program.c_str(), &files, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&files);
+    if (copy >= 0) ::close(copy);
     if (failed) throw std::runtime_error("cannot start " + program);
   }
   ~Process() {
