Answers may come in pieces, and end with their connection; what has begun is no load

Seen in log lines of each outcome; ruled out: heads that can't be read (none), answers that are too long (none). Change: an answer without a length is whole when its connection ends in order (RFC 9112, 6.3), a reset is no such end; pauses are timed, not all of it; Balancer::onHead lets go of the host with the head of an answer.

--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -164,6 +164,9 @@
   void onRequest(Time now, const Request& request);
   // The last byte of an `arriving` request is here. The time limit of its attempt from now on; 0: none is out.
   Duration onArrived(Time now, RequestId request);
+  // A host has begun to answer: its work is done, and what the answer takes on its way is no load. The attempt goes
+  // on; its `AttemptResult::taken` is to be the time up to here.
+  void onHead(Time now, RequestId request, std::uint32_t attempt);
   void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
   void onResult(Time now, const AttemptResult& result);
   void onClientGone(Time now, RequestId request);
--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -114,6 +114,15 @@
     return Step::whole;
   }
 
+  // The other side has ended in order. True: that is the end of a message whose length is told by nothing
+  // else (RFC 9112, 6.3), which is whole now. A reset is no such end.
+  bool endsWithConnection() {
+    if (!headDone_ || parser_->is_done() || !parser_->need_eof()) return false;
+    boost::system::error_code error;
+    parser_->put_eof(error);
+    return !error;
+  }
+
   Parser& parser() { return *parser_; }
   bool headDone() const { return headDone_; }
   std::size_t bodyHeld() const { return parser_->get().body().size(); }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -48,7 +48,7 @@
   return s.askWithin > Duration{} ? std::min(s.askWithin / 4, kWatchMost) : kWatchMost;
 }
 
-// From the first byte of an answer to its last: within the time in which a host shows any sign of life, and
+// Between the bytes of an answer that has begun: within the time in which a host shows any sign of life, and
 // soon enough that another host can still answer in time.
 Duration answerMost(const Config& config) {
   Duration least = config.connectTimeout;
@@ -333,7 +333,7 @@
   // Of one whose body is still coming the client is timed, and the host that takes it; the module's limit
   // comes with the last byte.
   const Time limit = r.arriving ? Time::max() : now + action.span;
-  attempts_[id] = {action.request, action.attempt, action.host, now, limit};
+  attempts_[id] = {action.request, action.attempt, action.host, now, limit, {}};
   limits_.emplace(limit, id);
   if (host == hosts_.end()) return;  // cannot be: the module knows only hosts that we named; times out
   pool_.send(id, action.host, host->second.endpoint, action.proveFirst);
@@ -471,6 +471,14 @@
   givenUp_.push_back(it->second.attempts[number]);
 }
 
+void Gateway::onHead(AttemptId id) {
+  const auto a = attempts_.find(id);
+  if (a == attempts_.end()) return;
+  a->second.head = clock_.now();
+  balancer_.onHead(a->second.head, a->second.request, a->second.number);
+  armTimer();
+}
+
 void Gateway::onOutcome(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
   settle(id, outcome, std::move(upstream));
   carryOut();
@@ -492,7 +500,7 @@
   result.attempt = a.number;
   result.host = a.host;
   result.outcome = outcome;
-  result.taken = now - a.sent;
+  result.taken = (a.head != Time{} ? a.head : now) - a.sent;
   result.terminal = r->second.ended || outcome == Outcome::served;
   if (Exchange* const x = r->second.exchange.get()) {
     const bool may =
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -92,6 +92,7 @@
     std::uint32_t number = 0;
     ridgeshift::HostId host = ridgeshift::kNone;
     Time sent{}, limit{};
+    Time head{};  // when its answer began; 0: it has not
   };
   struct HostRecord {
     tcp::endpoint endpoint;
@@ -119,6 +120,7 @@
   void onClientLeft(ridgeshift::RequestId request) override;
   std::optional<Outgoing> compose(AttemptId attempt) override;
   void onWantBody(AttemptId attempt) override;
+  void onHead(AttemptId attempt) override;
   void onAnswerBegun(AttemptId attempt, UpstreamAnswer&& answer,
                      std::optional<std::uint64_t> length) override;
   void onAnswerPiece(AttemptId attempt, std::string&& piece, bool last) override;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -224,6 +224,8 @@
     socket_.async_read_some(buffer_.prepare(relaying_ ? kPieceMost : kReadMost),
                             [this, self = shared_from_this()](error_code error, std::size_t n) {
                               if (closed_) return;
+                              stopTimer();
+                              if (error == asio::error::eof && reader_.endsWithConnection()) return advance();
                               if (error) return broken();
                               buffer_.commit(n);
                               advance();
@@ -238,7 +240,7 @@
     for (;;) switch (reader_.step(buffer_, error)) {
         case Step::bad: return broken();
         case Step::head:
-          if (reader_.parser().need_eof()) return over(Outcome::reset);  // cut short, it would look the same
+          if (reader_.parser().get().result_int() >= 200) pool_.events_.onHead(attempt_);
           if (reader_.parser().content_length().value_or(0) > kWholeMost) return begin();
           break;
         case Step::more:
@@ -256,8 +258,8 @@
       }
   }
 
-  // Danger: a spoilt answer may leave its connection open and say no more. A host sends an answer in one go,
-  // so one that has begun has to end within the time in which a host shows any sign of life.
+  // Danger: a spoilt answer may leave its connection open and say no more. One that has begun has to go on
+  // within the time in which a host shows any sign of life; as long as it does, it may take its time.
   void watchForStall(Duration most, Outcome outcome) {
     if (std::exchange(timed_, true)) return;
     timer_.expires_after(most);
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -41,6 +41,8 @@
   virtual std::optional<Outgoing> compose(AttemptId attempt) = 0;
   // What there was of a request that is not whole has been written; `feed` has the next piece.
   virtual void onWantBody(AttemptId attempt) = 0;
+  // The head of its final answer is here: whatever comes of it, the host has done its work.
+  virtual void onHead(AttemptId attempt) = 0;
   // Once for each attempt that was not given up, unless its answer has begun; never from within a call of
   // UpstreamPool.
   virtual void onOutcome(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer) = 0;
@@ -56,7 +58,7 @@
  public:
   struct Limits {
     Duration connectTimeout{};
-    Duration answerMost{};                               // from the first byte of an answer to its last
+    Duration answerMost{};                               // between the bytes of an answer that has begun
     Duration idleMost{};                                 // idle connections are closed after this
     std::size_t connecting = 4;                          // connections being opened to one host at once
     std::size_t most = 256;                              // connections in all
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -283,7 +283,7 @@
     if (it == requests.end()) return nullptr;
     const Open& r = it->second;
     for (std::uint32_t i = 0; i < r.count; ++i)
-      if (r.tries[i].out && r.tries[i].host == host) return &r.tries[i];
+      if (r.tries[i].held && r.tries[i].host == host) return &r.tries[i];
     return nullptr;
   }
   // Danger: a pool that loses a part of what it is sent looks overloaded: the lost ones are held until their
@@ -588,13 +588,21 @@
     return lastUse(r) > now && r.count < std::min<std::size_t>(r.once ? 1 : set.maxAttempts, kTries);
   }
 
+  void hold(const Open& r, Try& t) {
+    t.held = true;
+    hosts[t.host].sent.push_back(r.id);
+    ++hosts[t.host].inflight;
+  }
+  void letGo(Try& t) {
+    if (std::exchange(t.held, false)) --hosts[t.host].inflight;
+  }
+
   bool send(Open& r, HostId id, bool advised = false) {
     if (id == kNone || !canSend(r)) return false;
     Host& h = hosts[id];
     if (isCold(h)) h.coldTokens -= 1;
     r.tries[r.count] = {id, now, true, true, false};
-    if (!r.coming) h.sent.push_back(r.id);
-    h.inflight += !r.coming;
+    if (!r.coming) hold(r, r.tries[r.count]);
     ++h.refs;
     ++r.out;
     emit(ActionKind::send, r.id, r.count++, id, patience(r));
@@ -803,10 +811,9 @@
     if (!found || a.attempt >= found->count || !found->tries[a.attempt].out) return;
     Open& r = *found;
     Try& t = r.tries[a.attempt];
-    Host& h = hosts[t.host];
     t.out = false;
     --r.out;
-    h.inflight -= !r.coming;
+    letGo(t);
     if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
       t.mayHaveRun = false;
     judge(t.host, r, a);
@@ -835,11 +842,19 @@
     guards.push({r->deadline - set.step, id});
     Try& t = r->tries[r->count - 1];
     t.at = now;
-    hosts[t.host].sent.push_back(id);
-    ++hosts[t.host].inflight;
+    hold(*r, t);
     return patience(*r);
   }
 
+  // Danger: answers that dribble, behind slow lines or long ones, would fill the pool's measure with what no host works
+  // at, and cut off requests that idle hosts could do.
+  void onHead(RequestId id, std::uint32_t attempt) {
+    Open* r = find(id);
+    if (!r || attempt >= r->count || !r->tries[attempt].out) return;
+    letGo(r->tries[attempt]);
+    hosts[r->tries[attempt].host].heard = now;
+  }
+
   void onAnswerStarted(RequestId id, std::uint32_t attempt) {
     Open* r = find(id);
     if (!r || r->ended || attempt >= r->count) return;
@@ -1012,6 +1027,9 @@
   impl_->at(now, [&](Impl& i) { span = i.onArrived(request); });
   return span;
 }
+void Balancer::onHead(Time now, RequestId request, std::uint32_t attempt) {
+  impl_->at(now, [&](Impl& i) { i.onHead(request, attempt); });
+}
 void Balancer::onAnswerStarted(Time now, RequestId request, std::uint32_t attempt) {
   impl_->at(now, [&](Impl& i) { i.onAnswerStarted(request, attempt); });
 }
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -117,6 +117,7 @@
   HostId host = kNone;
   Time at{};
   bool out = false, mayHaveRun = false, cancelled = false;
+  bool held = false;  // counts as held by the host
 };
 
 struct Open {
--- a/tests/net/bodies_test.cpp
+++ b/tests/net/bodies_test.cpp
@@ -211,6 +211,68 @@
   EXPECT_EQ(gateway->openRequests(), 0u);
 }
 
+// RFC 9112, 6.3: without a length the end of the connection is the end of the answer, if it comes in order.
+TEST_F(BodiesTest, AnAnswerThatEndsWithItsConnectionIsWholeAndAResetIsNot) {
+  const std::string small = noise(300), large = noise(300'000);
+  std::string body = small;
+  bool reset = false;
+  for (int i = 0; i < 2; ++i)
+    host([&](const auto& peer, const Received&) {
+      peer->write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" +
+                  body.substr(0, reset ? body.size() - 1 : SIZE_MAX));
+      if (reset) peer->socket.set_option(asio::socket_base::linger(true, 0));
+      peer->close();
+    });
+  start();
+  const auto c = client();
+  for (const std::string& which : {small, large}) {
+    body = which;
+    const std::size_t before = c->answers.size();
+    c->ask("GET", "/read", 2500);
+    ASSERT_TRUE(until([&] { return c->answers.size() > before || c->ended; }));
+    ASSERT_GT(c->answers.size(), before);
+    EXPECT_EQ(c->answers.back().result_int(), 200u);
+    EXPECT_TRUE(c->answers.back().body() == body);
+  }
+  reset = true;
+  body = small;
+  const std::size_t before = c->answers.size();
+  c->ask("POST", "/book", 2500, "x");
+  ASSERT_TRUE(until([&] { return c->answers.size() > before; }));
+  EXPECT_EQ(c->answers.back().result_int(), 502u);  // it may have run, and what came is not whole
+}
+
+// Hard case: an answer in pieces that takes longer in all than any pause may.
+TEST_F(BodiesTest, AnAnswerThatDribblesIsWaitedForAndOneThatStopsIsNot) {
+  host(hold);
+  start();  // a pause of 500 ms at the most: the connect time-out
+  const auto c = client();
+  c->ask("GET", "/read", 2900);
+  ASSERT_TRUE(until([&] { return received() == 1; }));
+  const std::string all = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789";
+  std::size_t at = 0;
+  asio::steady_timer pause(io);
+  std::function<void()> step = [&] {
+    hosts[0]->peers[0]->write(all.substr(at, 4));
+    at += 4;
+    if (at >= all.size()) return;
+    pause.expires_after(milliseconds(100));
+    pause.async_wait([&](error_code) { step(); });
+  };
+  step();
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+  EXPECT_EQ(c->answers[0].body(), "0123456789");
+  EXPECT_GE(at, all.size());
+  c->ask("POST", "/book", 2900, "x");
+  ASSERT_TRUE(until([&] { return received() == 2; }));
+  const auto began = std::chrono::steady_clock::now();
+  hosts[0]->peers[0]->write(all.substr(0, 40));
+  ASSERT_TRUE(until([&] { return c->answers.size() == 2; }));
+  EXPECT_EQ(c->answers[1].result_int(), 502u);
+  EXPECT_LT(std::chrono::steady_clock::now() - began, milliseconds(2400));  // not only at its deadline
+}
+
 // What is said to have more than is allowed is nobody's answer, and the next host is asked.
 TEST_F(BodiesTest, AnAnswerOfGigabytesIsAFailedAttempt) {
   int asked = 0;
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -779,6 +779,7 @@
     return Outgoing{UpstreamRequest(http::verb::get, "/" + std::to_string(id), 11), true};
   }
   void onWantBody(AttemptId) override {}
+  void onHead(AttemptId) override {}
   void onAnswerBegun(AttemptId, UpstreamAnswer&&, std::optional<std::uint64_t>) override {}
   void onAnswerPiece(AttemptId, std::string&&, bool) override {}
   void onAnswerCut(AttemptId) override {}
