Traffic between zones: an account, a budget that is kept while service does not fall, reports

Need: traffic between zones costs money and adds latency, and nobody sees how much crosses; the users' next wish. Change: src/crossing (account, budget, settings: no I/O; stage), Request::homeFirst in the module: hosts of the own zone come first while one of them holds less than its part of the pool's threshold or than it answers in that part of the aim. The worthiest may use the budget up, the cheapest leave a reserve; what crosses by need is counted and paid back for a window. Off by default.

--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -101,6 +101,8 @@
   // Its body is still coming and goes on as it comes: it can be sent once only, and neither its time nor a host's
   // work counts before `onArrived`.
   bool arriving = false;
+  // Goes to hosts of the own zone, as long as one of them holds less than the pool may before its cut begins.
+  bool homeFirst = false;
   // Binds this one like an attempt of its own that may have run: it goes only where repeats are dropped
   // together with that one's, within its window, and else fails; it is never refused, since trying again
   // would not be harmless.
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -53,6 +53,7 @@
     hook::readHookSettings(root, folder, out.hooks);
     idempotency::readIdempotencySettings(root, folder, out.idempotency);
     peer::readPeerSettings(root, folder, out.peers);
+    crossing::readCrossingSettings(root, out.crossing);
     if (out.idempotency.owners.enabled && !out.peers.enabled)
       root.error("idempotency", "owners need [peers], enabled, for the other gateways");
   }
--- a/src/app/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "crossing/settings.hpp"
 #include "hook/settings.hpp"
 #include "idempotency/settings.hpp"
 #include "net/tuning.hpp"
@@ -20,6 +21,7 @@
   hook::HookSettings hooks;
   idempotency::IdempotencySettings idempotency;
   peer::PeerSettings peers;
+  crossing::CrossingSettings crossing;
 };
 
 // All that is wrong with a file, a line each, in the order of the file's lines: "FILE:LINE: WHAT".
--- a/src/app/ops_desk.cpp
+++ b/src/app/ops_desk.cpp
@@ -54,7 +54,8 @@
     case ops::CallKind::ready:
       if (gateway_.ready() && (!ready || ready())) return {200, "ready\n"};
       return {503, "not ready\n"};
-    case ops::CallKind::telemetry: return {200, ops::exposition(gateway_.figures(), config)};
+    case ops::CallKind::telemetry:
+      return {200, ops::exposition(gateway_.figures(), config) + (more ? more() : std::string())};
     case ops::CallKind::exclude: return takeOut(call.host);
     case ops::CallKind::include: return putBack(call.host);
     case ops::CallKind::evacuate:
--- a/src/app/ops_desk.hpp
+++ b/src/app/ops_desk.hpp
@@ -25,6 +25,7 @@
           Gateway& gateway);
 
   ops::ConfigFigures config;  // counted by whoever reads configurations
+  std::function<std::string()> more;  // further figures, as lines of the exposition format
   // Whether the process is ready to serve, if more than the gateway's own view counts.
   std::function<bool()> ready;
 
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -23,6 +23,7 @@
 #include "app/operator_file.hpp"
 #include "app/ops_desk.hpp"
 #include "app/succession.hpp"
+#include "crossing/stage.hpp"
 #include "hook/files.hpp"
 #include "hook/stage.hpp"
 #include "idempotency/stage.hpp"
@@ -50,6 +51,16 @@
   std::fprintf(stderr, "%.*s\n", static_cast<int>(line.size()), line.data());
 }
 
+// "crossing class=a zone=b attempts=3" is about all up to the first count.
+std::string subjectOf(const std::string& line) {
+  std::size_t end = line.find('=');
+  for (std::size_t at = end; at != std::string::npos; at = line.find('=', at + 1)) {
+    if (at + 1 < line.size() && line[at + 1] >= '0' && line[at + 1] <= '9') break;
+    end = std::min(line.find(' ', at), line.size());
+  }
+  return line.substr(0, end);
+}
+
 int readDescriptor(const std::string& text) {
   int fd = -1;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), fd);
@@ -76,8 +87,12 @@
   void serve() {
     waitForSignal();
     if (built_.hooks) takeHooks();
+    attachCrossing();
     attachIdempotency();
-    if (config_.ops) desk_ = std::make_unique<OpsDesk>(io_, clock_, config_, opsFile(config_.name), gateway_);
+    if (config_.ops) {
+      desk_ = std::make_unique<OpsDesk>(io_, clock_, config_, opsFile(config_.name), gateway_);
+      if (crossing_) desk_->more = [this] { return crossing_->account().exposition(); };
+    }
     gateway_.start();
     if (const std::string path = successionPath(config_.name);
         config_.inheritedListener >= 0 && !path.empty())
@@ -166,6 +181,15 @@
     waitToReport();
   }
 
+  // Ahead of what holds requests: those are asked about too.
+  void attachCrossing() {
+    if (!built_.file.crossing.enabled) return;
+    if (!std::exchange(attached_, true)) gateway_.attach(hooks_);
+    crossing_ = std::make_unique<crossing::CrossingStage>(clock_, built_.file.crossing, config_.settings);
+    gateway_.attach(*crossing_);
+    waitToReport();
+  }
+
   // Behind the hooks: what they turn down is not remembered.
   void attachIdempotency() {
     const auto& settings = built_.file.idempotency;
@@ -192,9 +216,11 @@
       std::vector<std::string> lines = hooks_.chain().summary(clock_.now());
       if (idempotency_) lines.push_back(idempotency_->summary());
       if (keyOwners_) lines.push_back(keyOwners_->summary());
+      if (crossing_)
+        for (std::string& line : crossing_->summary()) lines.push_back(std::move(line));
       for (const std::string& line : lines) {
         // Only what has changed since it was last said.
-        std::string& last = said_[line.substr(0, line.find('='))];
+        std::string& last = said_[subjectOf(line)];
         if (last != line) say(last = line);
       }
       waitToReport();
@@ -210,6 +236,7 @@
   // Stages outlive the gateway.
   hook::HookStage hooks_;
   std::unique_ptr<idempotency::IdempotencyStage> idempotency_;
+  std::unique_ptr<crossing::CrossingStage> crossing_;
   std::unique_ptr<KeyLog> keyLog_;
   std::unique_ptr<KeyOwners> keyOwners_;
   Gateway gateway_;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -487,7 +487,8 @@
     return listener_.events_.onClientTook(relay_);
   }
   if (const RelayId relay = std::exchange(relay_, 0)) listener_.events_.onClientTook(relay);
-  out_.shrink_to_fit();
+  if (out_.capacity() > kReadMost)
+    out_.shrink_to_fit();  // a long answer's buffer would stay with an idle client
   if (keepAlive_) return read();
   linger();
 }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -1,6 +1,7 @@
 #include "net/gateway.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 #include <string_view>
 
@@ -166,6 +167,7 @@
     r.exchange = begin(q, r.message);
     arrival = stages_.arrived(*r.exchange);
     q.earlier = r.exchange->earlier;
+    q.homeFirst = r.exchange->homeFirst;
   }
   // Danger: what is held would hold up its client in the midst of its body, past any time that it goes by.
   if (arrival.hold && !whole) arrival = {plainAnswer(http::status::payload_too_large), false};
@@ -223,6 +225,7 @@
       letGo(action.request, r);
       q.left = std::max(r.exchange->deadline - now, Duration(1));
       q.earlier = r.exchange->earlier;
+      q.homeFirst = r.exchange->homeFirst;
       return balancer_.onRequest(now, q);
     }
     case HeldAction::Kind::abandon:
@@ -257,6 +260,10 @@
     x->tenant = config_.settings.tenants[q.tenantIndex].name;
   x->deadline = clock_.now() + q.left;
   x->whole = !q.arriving;
+  if (q.arriving) {
+    const auto length = (*message)[http::field::content_length];
+    std::from_chars(length.data(), length.data() + length.size(), x->bodyLength);
+  }
   x->states.resize(stages_.size());
   return x;
 }
@@ -270,7 +277,7 @@
   if (x)
     stages_.answerHead(*x,
                        {static_cast<unsigned>(a.status), byHost, from ? &from->head : nullptr, a.contentType,
-                        a.body, !a.parted},
+                        a.body, !a.parted, a.parted ? a.parted->length.value_or(0) : 0},
                        a.headers);
   it->second.ended = true;
   if (!a.parted) count(it->second, a.status);
--- a/src/net/stage.hpp
+++ b/src/net/stage.hpp
@@ -68,6 +68,9 @@
   // Set by the stage that holds it: nothing of it runs, nor of what it waits for. If its time is up it is
   // refused and not failed.
   bool heldUnrun = false;
+  // Set by a stage in `arrived`: hosts of the own zone come first, as long as service there does not fall.
+  bool homeFirst = false;
+  std::uint64_t bodyLength = 0;  // of a body that is not whole, as its head tells it; 0: it does not
   // Else `message` has the beginning of a body that is too long to be held: the rest goes to a host as it
   // comes.
   bool whole = true;
@@ -81,7 +84,8 @@
   bool fromHost = false;                               // else the gateway's own
   const boost::beast::http::fields* fields = nullptr;  // of the host; null: there are none
   std::string_view contentType, body;
-  bool whole = true;  // else `body` is the beginning of one that is too long to be held
+  bool whole = true;         // else `body` is the beginning of one that is too long to be held,
+  std::uint64_t length = 0;  // of so many bytes, as its head tells it; 0: it does not
 };
 
 // What a stage makes of a request that has arrived: with neither it goes on.
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -491,11 +491,24 @@
     return allowed(r, h);
   }
 
-  void gather(const Open& r, bool relaxed) {  // up to kDrawn hosts, from a random place in the list on
+  // Of the own zone one of those gathered has room: it holds less than its part of the pool's threshold, or answers so
+  // fast that what it holds takes no larger part of the aim. Beyond, service would fall, and that comes first.
+  bool roomAtHome() const {
+    const double count = static_cast<double>(std::max<std::size_t>(listed.size(), 1));
+    const double part = std::max(1.0, kInflightThreshold * inflightMax() / count);
+    const double time = kInflightThreshold * kMaxOfAim * meanAim;
+    return std::any_of(ready.begin(), ready.end(), [&](HostId id) {
+      return hosts[id].inflight + 1 <= std::max(part, time * hosts[id].rate);
+    });
+  }
+
+  // Up to kDrawn hosts, from a random place in the list on.
+  void gather(const Open& r, bool relaxed, bool home = false) {
     ready.clear();
     const std::size_t from = drawBelow(listed.size());
     for (std::size_t i = 0; i < listed.size() && ready.size() < kDrawn; ++i) {
       const HostId id = listed[(from + i) % listed.size()];
+      if (home && !hosts[id].local) continue;
       if ((relaxed ? allowed(r, hosts[id]) : usable(r, id)) && coldMayTake(hosts[id])) ready.push_back(id);
     }
   }
@@ -503,7 +516,8 @@
   HostId pick(const Open& r) {
     const HostId cold = drawCold(r, 1);
     if (cold != kNone) return cold;
-    gather(r, false);
+    gather(r, false, r.homeFirst);
+    if (r.homeFirst && !roomAtHome()) gather(r, false);
     if (ready.empty()) gather(r, true);  // no healthy host: any that the rules allow beats none
     if (ready.empty()) return drawCold(r, kColdPart * set.fallMultiple - 1);
     if (set.warmKeys && r.hasKey) {
@@ -772,6 +786,7 @@
     r.hasKey = q.hasKey;
     r.earlier = q.earlier;
     r.once = r.coming = q.arriving;
+    r.homeFirst = q.homeFirst;
     r.came = now;
     r.deadline = now + q.left;
     // Clients give single tries the same time, and a later one what is left of their total wait. A try whose
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -127,6 +127,7 @@
   double cost = 0;  // against the class's mean
   std::uint64_t key = 0;
   bool hasKey = false, ended = false, bound = false;
+  bool homeFirst = false;
   bool once = false, coming = false;  // can be sent once only; its last byte is not here yet
   Time came{};
   double score = 0, load = -1;  // load: held by the host that a look found; below 0: not known
--- a/tests/policy/bodies_test.cpp
+++ b/tests/policy/bodies_test.cpp
@@ -37,7 +37,7 @@
   const Duration span = d.balancer.onArrived(d.now, id);
   d.collect();
   EXPECT_GT(span, Duration{});
-  EXPECT_LE(span, milliseconds(400));  // within the aim, from now on
+  EXPECT_LE(span, milliseconds(400));                      // within the aim, from now on
   EXPECT_EQ(d.balancer.onArrived(d.now, id), Duration{});  // once
   d.advance(milliseconds(1100));
   EXPECT_TRUE(d.refused(id));  // safe to repeat
--- a/tests/policy/look_test.cpp
+++ b/tests/policy/look_test.cpp
@@ -3,9 +3,9 @@
 #include <random>
 #include <set>
 
-#include "support/driver.hpp"
 #include "policy/message.hpp"
 #include "policy/state.hpp"
+#include "support/driver.hpp"
 
 namespace ridgeshift::testing {
 namespace {
