--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -98,8 +98,8 @@
   Duration cost{};                    // expected work; zero = not known
   std::uint64_t key = 0;
   bool hasKey = false;
-  // Its body is still coming and goes on as it comes: it can be sent once only, and neither its time nor a host's
-  // work counts before `onArrived`.
+  // Its body is still coming and goes on as it comes: it can be sent once only, and neither its time nor a
+  // host's work counts before `onArrived`.
   bool arriving = false;
   // Goes to hosts of the own zone, as long as one of them holds less than the pool may before its cut begins.
   bool homeFirst = false;
@@ -142,8 +142,8 @@
   LoadReport report;
 };
 
-// What a balancer has learned of its traffic and its hosts, for the next one of the same gateway. Durations are ages
-// and spans, since their clocks differ.
+// What a balancer has learned of its traffic and its hosts, for the next one of the same gateway. Durations
+// are ages and spans, since their clocks differ.
 struct Learned {
   struct Class {
     std::string name;
@@ -165,8 +165,8 @@
     int ejections = 0;
   };
   Duration age{};  // of the one that has learned it
-  double arrivalRate = 0, arrivalSweeps = 0, answers = 0, fastRate = 0, meanAim = 0, meanWork = 0, calmHeld = 0,
-         servedShare = 0;
+  double arrivalRate = 0, arrivalSweeps = 0, answers = 0, fastRate = 0, meanAim = 0, meanWork = 0,
+         calmHeld = 0, servedShare = 0;
   std::vector<Class> classes;
   std::vector<Kind> kinds;
   std::vector<Level> levels;
@@ -195,10 +195,11 @@
 
   void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
   void onRequest(Time now, const Request& request);
-  // The last byte of an `arriving` request is here. The time limit of its attempt from now on; 0: none is out.
+  // The last byte of an `arriving` request is here. The time limit of its attempt from now on; 0: none is
+  // out.
   Duration onArrived(Time now, RequestId request);
-  // A host has begun to answer: its work is done, and what the answer takes on its way is no load. The attempt goes
-  // on; its `AttemptResult::taken` is to be the time up to here.
+  // A host has begun to answer: its work is done, and what the answer takes on its way is no load. The
+  // attempt goes on; its `AttemptResult::taken` is to be the time up to here.
   void onHead(Time now, RequestId request, std::uint32_t attempt);
   void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
   void onResult(Time now, const AttemptResult& result);
@@ -211,8 +212,9 @@
   void onPeer(Time now, std::uint32_t from, std::string_view bytes);
 
   Learned learned() const;
-  // Takes over what fits: classes, kinds and hosts by name, a host only if it has not started anew since. Whoever has
-  // learned as much itself keeps to that; what makes no sense is passed over. What lists and rules forbid stays forbidden.
+  // Takes over what fits: classes, kinds and hosts by name, a host only if it has not started anew since.
+  // Whoever has learned as much itself keeps to that; what makes no sense is passed over. What lists and
+  // rules forbid stays forbidden.
   void recall(Time now, const Learned& learned);
 
   // Actions since the last clear, in the order in which they are to be carried out.
--- a/src/app/ops_desk.cpp
+++ b/src/app/ops_desk.cpp
@@ -71,31 +71,30 @@
 }
 
 ops::Reply OpsDesk::takeOut(const std::string& host) {
-  refresh();
-  if (!gateway_.lists(host) && !out_.knows(host)) return {404, "no such host in the list\n"};
+  if (!known(host)) return {404, "no such host in the list\n"};
   if (!out_.takeOut(host)) return {507, "too many hosts are out by hand\n"};
-  gateway_.refilter();
-  std::fprintf(stderr, "ops: host %s is out by hand\n", host.c_str());
-  // Danger: a yes that the next process does not know of would be broken by it.
-  if (!file_.path().empty() && !file_.write(out_.encode())) {
-    std::fprintf(stderr, "ops: %s can not be written\n", file_.path().c_str());
-    return {500, "out in this process; the next would not know: the file can not be written\n"};
-  }
-  return {200, "done\n"};
+  return changed(host, "out by hand");
 }
 
 ops::Reply OpsDesk::putBack(const std::string& host) {
-  refresh();
-  if (!gateway_.lists(host) && !out_.knows(host)) return {404, "no such host in the list\n"};
+  if (!known(host)) return {404, "no such host in the list\n"};
   if (!out_.isOut(host)) return {200, "was not out\n"};
   out_.putBack(host, clock_.now());
+  return changed(host, "put back");
+}
+
+bool OpsDesk::known(const std::string& host) {
+  refresh();
+  return gateway_.lists(host) || out_.knows(host);
+}
+
+// Danger: a yes that the next process does not know of would be broken by it.
+ops::Reply OpsDesk::changed(const std::string& host, const char* how) {
   gateway_.refilter();
-  std::fprintf(stderr, "ops: host %s is put back\n", host.c_str());
-  if (!file_.path().empty() && !file_.write(out_.encode())) {
-    std::fprintf(stderr, "ops: %s can not be written\n", file_.path().c_str());
-    return {500, "back in this process; the next would not know: the file can not be written\n"};
-  }
-  return {200, "done\n"};
+  std::fprintf(stderr, "ops: host %s is %s\n", host.c_str(), how);
+  if (file_.path().empty() || file_.write(out_.encode())) return {200, "done\n"};
+  std::fprintf(stderr, "ops: %s can not be written\n", file_.path().c_str());
+  return {500, std::string(how) + " in this process; the next would not know: the file can not be written\n"};
 }
 
 std::string opsFile(const std::string& name) {
--- a/src/app/ops_desk.hpp
+++ b/src/app/ops_desk.hpp
@@ -24,7 +24,7 @@
   OpsDesk(boost::asio::io_context& io, const Clock& clock, const Config& config, const std::string& file,
           Gateway& gateway);
 
-  ops::ConfigFigures config;  // counted by whoever reads configurations
+  ops::ConfigFigures config;          // counted by whoever reads configurations
   std::function<std::string()> more;  // further figures, as lines of the exposition format
   // Whether the process is ready to serve, if more than the gateway's own view counts.
   std::function<bool()> ready;
@@ -34,6 +34,8 @@
   void apply(ridgeshift::HostEntry& entry) const override { out_.apply(entry); }
   ops::Reply takeOut(const std::string& host);
   ops::Reply putBack(const std::string& host);
+  bool known(const std::string& host);
+  ops::Reply changed(const std::string& host, const char* how);
   bool refresh();
   void waitToLook();
 
--- a/src/crossing/account.cpp
+++ b/src/crossing/account.cpp
@@ -2,6 +2,8 @@
 
 #include <numeric>
 
+#include "base/metric_label.hpp"
+
 namespace finchstile::crossing {
 namespace {
 
@@ -16,16 +18,6 @@
          number("in", c.in);
 }
 
-std::string label(std::string_view value) {
-  std::string out;
-  for (const char c : value) {
-    if (c == '\\' || c == '"') out += '\\';
-    if (c == '\n') out += "\\n";
-    else out += c;
-  }
-  return out;
-}
-
 }  // namespace
 
 Crossed& Crossed::operator+=(const Crossed& o) {
@@ -84,7 +76,8 @@
     for (const auto& [zone, crossed] : zones_) {
       const Crossed& c = crossed[cls];
       if (c.attempts == 0) continue;
-      const std::string at = "{group=\"" + label(classes_[cls]) + "\",zone=\"" + label(zone) + "\",";
+      const std::string at =
+          "{group=\"" + metricLabel(classes_[cls]) + "\",zone=\"" + metricLabel(zone) + "\",";
       out += "lb_crossing_attempts_total" + at + "leave=\"given\"} " + std::to_string(c.attempts - c.forced) +
              "\n";
       out += "lb_crossing_attempts_total" + at + "leave=\"forced\"} " + std::to_string(c.forced) + "\n";
--- a/src/idempotency/stage.cpp
+++ b/src/idempotency/stage.cpp
@@ -373,8 +373,9 @@
          n("uncertain", store_.count(S::uncertain)) + n("evicted", store_.evicted()) +
          n("fresh", counts_.fresh) + n("joined", counts_.joined) + n("replayed", counts_.replayed) +
          n("again", counts_.again) + n("mismatched", counts_.mismatched) + n("crowded", counts_.crowded) +
-         n("full", counts_.full) + n("large", counts_.large) + n("answered_from_first", counts_.answeredFromFirst) +
-         n("promoted", counts_.promoted) + n("kept_without_client", counts_.keptWithoutClient) + log + owners;
+         n("full", counts_.full) + n("large", counts_.large) +
+         n("answered_from_first", counts_.answeredFromFirst) + n("promoted", counts_.promoted) +
+         n("kept_without_client", counts_.keptWithoutClient) + log + owners;
 }
 
 }  // namespace finchstile::idempotency
--- a/src/ops/call.cpp
+++ b/src/ops/call.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include "base/percent.hpp"
+
 namespace finchstile::ops {
 namespace {
 
@@ -22,30 +24,6 @@
     {"rejoin", "PUT", CallKind::rejoin, false},
 }};
 
-int digit(char c) {
-  if (c >= '0' && c <= '9') return c - '0';
-  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
-  return -1;
-}
-
-// RFC 3986, 2.1. Danger: a name that is decoded twice, or half, is another host's.
-std::optional<std::string> decoded(std::string_view text) {
-  std::string out;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] != '%') {
-      out += text[i];
-      continue;
-    }
-    if (i + 2 >= text.size()) return std::nullopt;
-    const int high = digit(text[i + 1]), low = digit(text[i + 2]);
-    if (high < 0 || low < 0) return std::nullopt;
-    out += static_cast<char>(high * 16 + low);
-    i += 2;
-  }
-  return out;
-}
-
 }  // namespace
 
 CallResult readCall(std::string_view method, std::string_view target) {
@@ -67,7 +45,7 @@
     CallResult out;
     out.call = Call{k.kind, {}};
     if (!k.host) return out;
-    const auto name = decoded(target.substr(slash + 1));
+    const auto name = percentDecoded(target.substr(slash + 1));
     if (!name || name->empty() || name->size() > kNameMost) {
       none.status = 400;
       return none;
--- a/src/ops/exposition.cpp
+++ b/src/ops/exposition.cpp
@@ -2,6 +2,8 @@
 
 #include <string_view>
 
+#include "base/metric_label.hpp"
+
 namespace finchstile::ops {
 namespace {
 
@@ -14,16 +16,6 @@
   out.append("lb_").append(name).append(" ").append(std::to_string(value)).append("\n");
 }
 
-std::string label(std::string_view value) {  // a backslash, a quote and a line's end are escaped
-  std::string out;
-  for (const char c : value) {
-    if (c == '\\' || c == '"') out += '\\';
-    if (c == '\n') out += "\\n";
-    else out += c;
-  }
-  return out;
-}
-
 }  // namespace
 
 std::string exposition(const GatewayFigures& f, const ConfigFigures& config) {
@@ -31,7 +23,7 @@
   out.reserve(256 + 192 * f.classes.size());
   type(out, "transactions_total", "counter");
   for (const ClassFigures& c : f.classes) {
-    const std::string head = "lb_transactions_total{group=\"" + label(c.name) + "\",state=\"";
+    const std::string head = "lb_transactions_total{group=\"" + metricLabel(c.name) + "\",state=\"";
     out += head + "answered\"} " + std::to_string(c.answered) + "\n";
     out += head + "deferred\"} " + std::to_string(c.deferred) + "\n";
     out += head + "errored\"} " + std::to_string(c.errored) + "\n";
--- a/src/ops/hand_out.cpp
+++ b/src/ops/hand_out.cpp
@@ -6,47 +6,13 @@
 #include <utility>
 #include <vector>
 
+#include "base/percent.hpp"
+
 namespace finchstile::ops {
 namespace {
 
 constexpr std::string_view kHeader = "finchstile-out 1\n";
 
-// Names come from the list and may hold anything; here one line holds one name.
-std::string written(const std::string& name) {
-  static constexpr char kDigits[] = "0123456789abcdef";
-  std::string out;
-  for (const unsigned char c : name) {
-    if (c > ' ' && c < 0x7f && c != '%') {
-      out += static_cast<char>(c);
-    } else {
-      out += '%';
-      out += kDigits[c >> 4];
-      out += kDigits[c & 15];
-    }
-  }
-  return out;
-}
-
-std::optional<std::string> readBack(std::string_view line) {
-  std::string out;
-  for (std::size_t i = 0; i < line.size(); ++i) {
-    if (line[i] != '%') {
-      out += line[i];
-      continue;
-    }
-    if (i + 2 >= line.size()) return std::nullopt;
-    int value = 0;
-    for (const char c : line.substr(i + 1, 2)) {
-      if (c >= '0' && c <= '9') value = value * 16 + (c - '0');
-      else if (c >= 'a' && c <= 'f') value = value * 16 + (c - 'a' + 10);
-      else return std::nullopt;
-    }
-    out += static_cast<char>(value);
-    i += 2;
-  }
-  return out;
-}
-
 }  // namespace
 
 bool HandOut::takeOut(const std::string& host) {
@@ -91,7 +57,7 @@
 std::string HandOut::encode() const {
   std::string text(kHeader);
   for (const auto& [name, mark] : marks_)
-    if (mark.out) text += "out " + written(name) + "\n";
+    if (mark.out) text += "out " + percentEncoded(name) + "\n";
   return text + "end " + std::to_string(out_) + "\n";
 }
 
@@ -106,7 +72,7 @@
     text.remove_prefix(end + 1);
     if (line == "end " + std::to_string(names.size())) break;
     if (line.substr(0, 4) != "out ") return false;
-    auto name = readBack(line.substr(4));
+    auto name = percentDecoded(line.substr(4));
     if (!name || name->empty() || names.size() >= kMost) return false;
     names.insert(std::move(*name));
   }
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -12,9 +12,9 @@
 #include <utility>
 
 #include "policy/message.hpp"
-#include "ridgeshift/ridgeshift.hpp"
 #include "policy/settings.hpp"
 #include "policy/state.hpp"
+#include "ridgeshift/ridgeshift.hpp"
 
 namespace ridgeshift {
 namespace {
@@ -491,8 +491,9 @@
     return allowed(r, h);
   }
 
-  // Of the own zone one of those gathered has room: it holds less than its part of the pool's threshold, or answers so
-  // fast that what it holds takes no larger part of the aim. Beyond, service would fall, and that comes first.
+  // Of the own zone one of those gathered has room: it holds less than its part of the pool's threshold, or
+  // answers so fast that what it holds takes no larger part of the aim. Beyond, service would fall, and that
+  // comes first.
   bool roomAtHome() const {
     const double count = static_cast<double>(std::max<std::size_t>(listed.size(), 1));
     const double part = std::max(1.0, kInflightThreshold * inflightMax() / count);
@@ -847,8 +848,8 @@
     else finish(r);
   }
 
-  // Danger: a body that comes slowly would look like a host that is slow or silent, and like load where a host
-  // does nothing yet.
+  // Danger: a body that comes slowly would look like a host that is slow or silent, and like load where a
+  // host does nothing yet.
   Duration onArrived(RequestId id) {
     Open* r = find(id);
     if (!r || !std::exchange(r->coming, false) || r->ended || r->out == 0) return {};
@@ -861,8 +862,8 @@
     return patience(*r);
   }
 
-  // Danger: answers that dribble, behind slow lines or long ones, would fill the pool's measure with what no host works
-  // at, and cut off requests that idle hosts could do.
+  // Danger: answers that dribble, behind slow lines or long ones, would fill the pool's measure with what no
+  // host works at, and cut off requests that idle hosts could do.
   void onHead(RequestId id, std::uint32_t attempt) {
     Open* r = find(id);
     if (!r || attempt >= r->count || !r->tries[attempt].out) return;
--- a/tests/fuzz/http_framing.cpp
+++ b/tests/fuzz/http_framing.cpp
@@ -14,7 +14,8 @@
   int verdict = 0;  // 0: more is wanted, 1: whole, 2: bad
   std::string head, body;
   std::size_t left = 0;  // bytes behind the message
-  // What is not whole may be turned down sooner or later, as more of it is looked at; what is whole is the same.
+  // What is not whole may be turned down sooner or later, as more of it is looked at; what is whole is the
+  // same.
   bool agrees(const Reading& o) const {
     if (verdict != 1 && o.verdict != 1) return verdict == 2 || o.verdict == 2 || body == o.body;
     return verdict == o.verdict && head == o.head && body == o.body && left == o.left;
