Streams that are held open: the module's facts, opaque TCP beside requests

Need: log scanners speak a protocol of their own over TCP, and today nothing but HTTP passes.

The module is asked for a stream like for a request (Request::stream): scored, refused below the same cutoff, picked by how many streams a host holds, bounded for each host and in all, spread by a rate of beginnings for each host; once begun it is no load in flight. src/net/front.hpp is the seam for what is no HTTP request; src/stream/ has the decisions without I/O (half-closes, time-outs, memory, drain plan, endings, PROXY protocol v2) and the relay, the table and the listeners. Off unless [streams] says otherwise.

--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -68,6 +68,12 @@
   double coldShare = 1;           // share of its capacity that it starts with
   double fallMultiple = 3;        // a cold host falls when sent this multiple of its capacity
   Duration fallWindow{};          // for this long
+  // Streams; 0: no bound. The first two hold for the bank and are kept by each gateway for its part, cold
+  // hosts by their warmth.
+  double streamRate = 0;          // that may begin at one host, a second
+  std::uint32_t hostStreams = 0;  // held by one host
+  std::uint32_t mostStreams = 0;  // held by this gateway
+  Duration streamReturn{};        // those refused are told to come back spread over this; 0: as `retryAfter`
 };
 
 enum class Phase { in, draining, out };
@@ -101,6 +107,9 @@
   // Its body is still coming and goes on as it comes: it can be sent once only, and neither its time nor a
   // host's work counts before `onArrived`.
   bool arriving = false;
+  // Asks for a stream, held open for long: `left` is for it to begin. Once it has (`onAnswerStarted`) it goes
+  // nowhere else, is no load in flight, and counts among its host's streams until its result.
+  bool stream = false;
   // Goes to hosts of the own zone, as long as one of them holds less than the pool may before its cut begins.
   bool homeFirst = false;
   // Binds this one like an attempt of its own that may have run: it goes only where repeats are dropped
@@ -201,7 +210,7 @@
   // A host has begun to answer: its work is done, and what the answer takes on its way is no load. The
   // attempt goes on; its `AttemptResult::taken` is to be the time up to here.
   void onHead(Time now, RequestId request, std::uint32_t attempt);
-  void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
+  void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streams
   void onResult(Time now, const AttemptResult& result);
   void onClientGone(Time now, RequestId request);
   void onWake(Time now);  // at or after the time asked for in ActionKind::wake; extra calls do no harm
@@ -227,6 +236,8 @@
   const std::string& address(HostId host) const;    // throws std::out_of_range
   double cutoff() const;                            // 0 to 100: scores below it are refused now
   std::size_t openRequests() const;                 // requests and attempts not yet over
+  std::size_t streams(HostId host) const;           // that the host holds or is sent; 0 if it is not known
+  std::size_t streams() const;                      // all of them
 
  private:
   struct Impl;
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -54,6 +54,7 @@
     idempotency::readIdempotencySettings(root, folder, out.idempotency);
     peer::readPeerSettings(root, folder, out.peers);
     crossing::readCrossingSettings(root, out.crossing);
+    stream::readStreamSettings(root, out.streams);
     if (out.idempotency.owners.enabled && !out.peers.enabled)
       root.error("idempotency", "owners need [peers], enabled, for the other gateways");
   }
--- a/src/app/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -13,6 +13,7 @@
 #include "net/tuning.hpp"
 #include "operator/document.hpp"
 #include "peer/settings.hpp"
+#include "stream/settings.hpp"
 
 namespace finchstile {
 
@@ -22,6 +23,7 @@
   idempotency::IdempotencySettings idempotency;
   peer::PeerSettings peers;
   crossing::CrossingSettings crossing;
+  stream::StreamSettings streams;
 };
 
 // All that is wrong with a file, a line each, in the order of the file's lines: "FILE:LINE: WHAT".
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -28,6 +28,8 @@
 #include "hook/stage.hpp"
 #include "idempotency/stage.hpp"
 #include "net/gateway.hpp"
+#include "stream/table.hpp"
+#include "stream/tcp_front.hpp"
 
 namespace finchstile {
 namespace {
@@ -89,9 +91,15 @@
     if (built_.hooks) takeHooks();
     attachCrossing();
     attachIdempotency();
+    attachStreams();
     if (config_.ops) {
       desk_ = std::make_unique<OpsDesk>(io_, clock_, config_, opsFile(config_.name), gateway_);
-      if (crossing_) desk_->more = [this] { return crossing_->account().exposition(); };
+      desk_->more = [this] {
+        std::string more;
+        if (crossing_) more += crossing_->account().exposition();
+        if (streams_) more += streams_->exposition();
+        return more;
+      };
     }
     gateway_.start();
     if (const std::string path = successionPath(config_.name);
@@ -104,6 +112,13 @@
   Config configured() const {
     Config c = loadConfig(options_.config, clock_);
     c.tuning = built_.file.tuning;
+    if (const stream::StreamSettings& s = built_.file.streams; s.enabled) {
+      c.tuning.otherShare = s.descriptorShare;
+      c.settings.mostStreams = static_cast<std::uint32_t>(stream::streamsOf(s, c.sockets));
+      c.settings.hostStreams = static_cast<std::uint32_t>(s.hostStreams);
+      c.settings.streamRate = s.hostRate;
+      c.settings.streamReturn = s.returnWithin;
+    }
     if (const char* fd = std::getenv("LB_INHERITED_FD"); fd && *fd) c.inheritedListener = readDescriptor(fd);
     return c;
   }
@@ -209,6 +224,18 @@
     waitToReport();
   }
 
+  void attachStreams() {
+    const stream::StreamSettings& settings = built_.file.streams;
+    if (!settings.enabled) return;
+    streams_ = std::make_unique<stream::StreamTable>(io_, clock_, settings, config_.settings.mostStreams,
+                                                     config_.settings.seed, gateway_.frontHost(), say);
+    tcp_ = std::make_unique<stream::TcpFront>(io_, clock_, settings, config_.settings, gateway_.frontHost(),
+                                              *streams_);
+    gateway_.attach(*tcp_);
+    tcp_->start();
+    waitToReport();
+  }
+
   void waitToReport() {
     report_.expires_after(built_.file.hooks.report);
     report_.async_wait([this](const boost::system::error_code& stopped) {
@@ -216,6 +243,7 @@
       std::vector<std::string> lines = hooks_.chain().summary(clock_.now());
       if (idempotency_) lines.push_back(idempotency_->summary());
       if (keyOwners_) lines.push_back(keyOwners_->summary());
+      if (streams_) lines.push_back(streams_->account().summary());
       if (crossing_)
         for (std::string& line : crossing_->summary()) lines.push_back(std::move(line));
       for (const std::string& line : lines) {
@@ -240,6 +268,8 @@
   std::unique_ptr<KeyLog> keyLog_;
   std::unique_ptr<KeyOwners> keyOwners_;
   Gateway gateway_;
+  std::unique_ptr<stream::StreamTable> streams_;
+  std::unique_ptr<stream::TcpFront> tcp_;
   std::unique_ptr<OpsDesk> desk_;
   std::unique_ptr<Succession> succession_;
   bool attached_ = false;
--- a/src/base/address.hpp
+++ b/src/base/address.hpp
@@ -25,4 +25,16 @@
   return std::pair(address, port);
 }
 
+// The same as operators write it: an IPv6 address in brackets, "[::1]:9000", and no port 0.
+inline std::optional<std::pair<boost::asio::ip::address, std::uint16_t>> parseListenAddress(
+    std::string_view text) {
+  const std::size_t close = text.rfind("]:");
+  const bool bracketed = !text.empty() && text.front() == '[' && close != std::string_view::npos;
+  const auto at =
+      parseAddress(bracketed ? std::string(text.substr(1, close - 1)) + std::string(text.substr(close + 1))
+                             : std::string(text));
+  if (!at || at->second == 0 || at->first.is_v6() != bracketed) return std::nullopt;
+  return at;
+}
+
 }  // namespace finchstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -36,8 +36,9 @@
 constexpr Duration kLagLeast = milliseconds(20);
 constexpr Duration kLagKept = milliseconds(100);
 
-std::size_t share(std::size_t sockets, double part) {
-  return std::max<std::size_t>(8, static_cast<std::size_t>(static_cast<double>(sockets) * part));
+std::size_t share(const Config& c, double part) {
+  return std::max<std::size_t>(
+      8, static_cast<std::size_t>(static_cast<double>(c.sockets) * part * (1 - c.tuning.otherShare)));
 }
 
 Duration part(Duration d, double by) {
@@ -65,10 +66,10 @@
       config_(std::move(config)),
       balancer_(config_.settings, clock.now()),
       listener_(io, clock, config_.listen, config_.inheritedListener,
-                share(config_.sockets, config_.tuning.clientShare), config_.tuning.clients, *this),
+                share(config_, config_.tuning.clientShare), config_.tuning.clients, *this),
       pool_(io, clock,
             {config_.connectTimeout, answerMost(config_), part(config_.idleClose, kIdleShare),
-             config_.tuning.connecting, share(config_.sockets, config_.tuning.upstreamShare),
+             config_.tuning.connecting, share(config_, config_.tuning.upstreamShare),
              config_.tuning.proofLeast},
             *this),
       discovery_(io, clock, config_.discovery, {watchWait(config_.settings), kSilence}, config_.known.index,
@@ -104,6 +105,7 @@
     listener_.sendAway(clock_.now() + kRestAfterAway);
   }
   exitAt_ = clock_.now() + longestGiveUp(config_.settings) + kExitAfterLongest;
+  for (Front* front : fronts_) front->onDrain(exitAt_);
   armTimer();
 }
 
@@ -477,10 +479,12 @@
   releaseIfOver(request);
 }
 
-void Gateway::cancel(RequestId request, std::uint32_t number) {
-  const auto it = requests_.find(request);
-  if (it == requests_.end() || number >= it->second.attempts.size()) return;
-  givenUp_.push_back(it->second.attempts[number]);
+void Gateway::cancel(const ridgeshift::Action& action) {
+  if (const auto front = asked_.find(action.request); front != asked_.end())
+    return front->second->onCancel(action.request, action.attempt);
+  const auto it = requests_.find(action.request);
+  if (it == requests_.end() || action.attempt >= it->second.attempts.size()) return;
+  givenUp_.push_back(it->second.attempts[action.attempt]);
 }
 
 void Gateway::onHead(AttemptId id) {
@@ -533,6 +537,49 @@
   balancer_.onResult(now, result);
 }
 
+// --- Fronts
+// -------------------------------------------------------------------------------------------------
+
+void Gateway::ask(Front& front, const ridgeshift::Request& q) {
+  asked_.emplace(q.id, &front);
+  balancer_.onRequest(clock_.now(), q);
+  carryOut();
+}
+
+void Gateway::begun(RequestId request, std::uint32_t attempt) {
+  balancer_.onAnswerStarted(clock_.now(), request, attempt);
+  carryOut();
+}
+
+void Gateway::over(RequestId request, std::uint32_t attempt, HostId host, Outcome outcome, Duration taken,
+                   bool last) {
+  ridgeshift::AttemptResult result;
+  result.request = request;
+  result.attempt = attempt;
+  result.host = host;
+  result.outcome = outcome;
+  result.taken = taken;
+  result.terminal = last;
+  if (last) asked_.erase(request);
+  balancer_.onResult(clock_.now(), result);
+  carryOut();
+}
+
+void Gateway::left(RequestId request) {
+  balancer_.onClientGone(clock_.now(), request);
+  carryOut();
+  asked_.erase(request);
+}
+
+Phase Gateway::phaseOf(HostId host) const {
+  const auto it = hosts_.find(host);
+  return it == hosts_.end() ? Phase::out : it->second.phase;
+}
+
+bool Gateway::frontsIdle() const {
+  return std::all_of(fronts_.begin(), fronts_.end(), [](const Front* front) { return front->idle(); });
+}
+
 // --- Discovery
 // ----------------------------------------------------------------------------------------------
 
@@ -541,10 +588,14 @@
   for (const ListedHost& h : list.hosts) entries.push_back(inForce(h.entry));
   balancer_.onHosts(clock_.now(), kind, entries);
   std::vector<HostId> named;
+  std::vector<std::pair<HostId, Phase>> changed;
   for (const ListedHost& h : list.hosts) {
     const HostId id = balancer_.findHost(h.entry.address);
     if (id == kNone) continue;
     HostRecord& record = hosts_[id];
+    const bool fresh = record.endpoint == tcp::endpoint{};
+    if (const Phase phase = inForce(h.entry).phase; fresh || record.phase != phase)
+      changed.emplace_back(id, phase);
     // Danger: connections to an old address would be taken for ones to the new.
     if (record.endpoint != h.endpoint) pool_.setOpen(id, false);
     record = {h.endpoint, inForce(h.entry).phase, h.entry, h.entry.zone, h.entry.cell};
@@ -554,10 +605,14 @@
   for (auto& [id, record] : hosts_) {
     // What a whole list leaves out is gone, and so is what the module has forgotten.
     if (!balancer_.knows(id) ||
-        (kind != ListKind::update && !std::binary_search(named.begin(), named.end(), id)))
+        (kind != ListKind::update && !std::binary_search(named.begin(), named.end(), id))) {
+      if (record.phase != Phase::out) changed.emplace_back(id, Phase::out);
       record.phase = record.listed.phase = Phase::out;
+    }
     pool_.setOpen(id, record.phase == Phase::in);
   }
+  for (Front* front : fronts_)
+    for (const auto& [id, phase] : changed) front->onHost(id, phase);
   carryOut();
 }
 
@@ -602,7 +657,7 @@
     const std::vector<ridgeshift::Action> actions = std::exchange(balancer_.actions(), {});
     // An attempt given up is closed before anything else goes out for its request, the answer included.
     for (const auto& action : actions)
-      if (action.kind == ActionKind::cancel) cancel(action.request, action.attempt);
+      if (action.kind == ActionKind::cancel) cancel(action);
     const std::vector<AttemptId> givenUp = std::exchange(givenUp_, {});
     std::vector<std::pair<AttemptId, bool>> closed;
     for (const AttemptId id : givenUp)
@@ -615,7 +670,32 @@
   armTimer();
 }
 
+bool Gateway::carryOut(const ridgeshift::Action& action, Front& front) {
+  switch (action.kind) {
+    case ActionKind::send: {
+      const auto h = hosts_.find(action.host);
+      if (h == hosts_.end()) return false;  // cannot be, see `send`
+      front.onSend(action.request, action.attempt,
+                   {action.host, h->second.endpoint, h->second.listed.address, h->second.zone}, action.span);
+      return true;
+    }
+    case ActionKind::cancel: return true;  // done ahead of everything else, see `cancel`
+    case ActionKind::refuse:
+      asked_.erase(action.request);
+      front.onRefused(action.request, action.span);
+      return true;
+    case ActionKind::fail:
+      asked_.erase(action.request);
+      front.onFailed(action.request);
+      return true;
+    default: return false;
+  }
+}
+
 void Gateway::carryOut(const ridgeshift::Action& action) {
+  if (const auto front = asked_.find(action.request);
+      front != asked_.end() && carryOut(action, *front->second))
+    return;
   switch (action.kind) {
     case ActionKind::send: return send(action);
     case ActionKind::refuse: {
@@ -688,7 +768,7 @@
   if (!config_.settings.askDiscovery && !draining_) discovery_.watch();
   if (!draining_ || now < closeListenerAt_) return;
   listener_.close();
-  if ((listener_.size() == 0 || now >= exitAt_) && done_) std::exchange(done_, nullptr)();
+  if (((listener_.size() == 0 && frontsIdle()) || now >= exitAt_) && done_) std::exchange(done_, nullptr)();
 }
 
 }  // namespace finchstile
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -21,6 +21,7 @@
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/figures.hpp"
+#include "net/front.hpp"
 #include "net/request.hpp"
 #include "net/stage.hpp"
 #include "net/upstream.hpp"
@@ -35,13 +36,16 @@
   virtual void apply(ridgeshift::HostEntry& entry) const = 0;
 };
 
-class Gateway : ClientEvents, UpstreamEvents, DiscoveryEvents, StageHost {
+class Gateway : ClientEvents, UpstreamEvents, DiscoveryEvents, StageHost, FrontHost {
  public:
   Gateway(boost::asio::io_context& io, const Clock& clock, Config config);
 
   // Stages come in this order in each phase, and must outlive the gateway. Not from within a phase.
   void attach(Stage& stage) { stages_.attach(stage); }
   StageHost& stageHost() { return *this; }
+  // Fronts must outlive the gateway. Before `start`.
+  void attach(Front& front) { fronts_.push_back(&front); }
+  FrontHost& frontHost() { return *this; }
   void start();
   // Goes over to the discovery that `next` names; hosts, requests and connections stay as they are. All else
   // in it takes effect at the next start.
@@ -135,6 +139,15 @@
   void admitHeld(ridgeshift::RequestId request) override;
   void abandon(ridgeshift::RequestId request) override;
 
+  ridgeshift::RequestId newRequest() override { return ++lastRequest_; }
+  void ask(Front& front, const ridgeshift::Request& request) override;
+  void begun(ridgeshift::RequestId request, std::uint32_t attempt) override;
+  void over(ridgeshift::RequestId request, std::uint32_t attempt, ridgeshift::HostId host,
+            ridgeshift::Outcome outcome, Duration taken, bool last) override;
+  void left(ridgeshift::RequestId request) override;
+  ridgeshift::Phase phaseOf(ridgeshift::HostId host) const override;
+  std::size_t streamsOf(ridgeshift::HostId host) const override { return balancer_.streams(host); }
+
   Duration lagNow() const;
   bool answerOwnPaths(ClientSession& session, const ClientRequest& message);
   void learnHosts(const HostList& list, ridgeshift::ListKind kind);
@@ -142,8 +155,10 @@
   void count(const RequestRecord& record, boost::beast::http::status status);
   void carryOut();
   void carryOut(const ridgeshift::Action& action);
+  bool carryOut(const ridgeshift::Action& action, Front& front);
+  bool frontsIdle() const;
   void send(const ridgeshift::Action& action);
-  void cancel(ridgeshift::RequestId request, std::uint32_t number);
+  void cancel(const ridgeshift::Action& action);
   std::unique_ptr<Exchange> begin(const ridgeshift::Request& q,
                                   const std::shared_ptr<const ClientRequest>& message) const;
   void answer(ridgeshift::RequestId request, RequestEnd end, Answer&& answer,
@@ -179,7 +194,9 @@
 
   RequestReader reader_;
   StageChain stages_;
-  std::unordered_set<std::string> openIds_;  // clients' ids of `requests_`
+  std::vector<Front*> fronts_;
+  std::unordered_map<ridgeshift::RequestId, Front*> asked_;  // requests of fronts that are not over
+  std::unordered_set<std::string> openIds_;                  // clients' ids of `requests_`
   std::unordered_map<ridgeshift::HostId, HostRecord> hosts_;
   std::unordered_map<ridgeshift::RequestId, RequestRecord> requests_;
   std::unordered_map<AttemptId, AttemptRecord> attempts_;
--- a/src/net/tuning.hpp
+++ b/src/net/tuning.hpp
@@ -22,6 +22,8 @@
   ClientTuning clients;
   double clientShare = 0.5;     // of the descriptors
   double upstreamShare = 0.45;  // the same; the two together at most 0.95
+  // Of the descriptors, for what is neither: the two above are shares of the rest.
+  double otherShare = 0;
   // Connections being opened to one host at once: each costs it as much as a small request.
   std::size_t connecting = 4;
   // The least time for a connection's end to show before a last byte: what a busy machine needs to run the
--- a/src/peer/settings.cpp
+++ b/src/peer/settings.cpp
@@ -15,10 +15,8 @@
 namespace finchstile::peer {
 
 std::optional<udp::endpoint> parseEndpoint(const std::string& text) {
-  const std::size_t close = text.rfind("]:");
-  const bool bracketed = !text.empty() && text.front() == '[' && close != std::string::npos;
-  const auto at = parseAddress(bracketed ? text.substr(1, close - 1) + text.substr(close + 1) : text);
-  if (!at || at->second == 0 || at->first.is_v6() != bracketed) return std::nullopt;
+  const auto at = parseListenAddress(text);
+  if (!at) return std::nullopt;
   return udp::endpoint(at->first, at->second);
 }
 
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -101,6 +101,11 @@
 constexpr double kGroupHosts = 24;         // of one zone share a keeper: its lightest is almost the pool's
 constexpr Duration kDeafFor = seconds(3);  // a keeper that did not answer is passed over for so long
 
+constexpr Duration kStreamBurst = milliseconds(250);  // of a host's rate of streams that may come at once
+// In the draw, for one stream fewer or more than the mean: enough to even out what chance does, too little
+// for one empty host to be sent all that comes.
+constexpr double kStreamLeast = 0.25, kStreamMost = 4;
+
 }  // namespace
 
 struct Balancer::Impl : State {
@@ -133,6 +138,7 @@
   void judge(HostId id, const Open& r, const AttemptResult& a) {
     ClassState& c = classes[r.cls];
     Host& h = hosts[id];
+    if (r.stream) return judgeStream(h, a.outcome);
     const double taken = std::max(toSeconds(a.taken), 1e-6);  // zero would make every ratio meaningless
     if (a.outcome == Outcome::served && c.norm <= 0) c.norm = taken / r.cost;
     const double sample = c.norm > 0 ? std::min(taken / (c.norm * r.cost), 20.0) : 1;
@@ -166,6 +172,15 @@
     if (a.outcome != Outcome::served) h.errors += a.outcome == Outcome::full && sparse() ? kFullError : 1;
   }
 
+  // How long a stream lasts, or took to begin, says nothing of a host's pace.
+  void judgeStream(Host& h, Outcome outcome) {
+    learn(h, outcome, 0, true);
+    if (outcome == Outcome::cancelled || outcome == Outcome::moot || outcome == Outcome::rejected) return;
+    outcomeSeen += 1;
+    h.outcomes += 1;
+    if (outcome != Outcome::served) h.errors += 1;
+  }
+
   // What an outcome, our own or one told to us as the host's keeper, shows of the host.
   void learn(Host& h, Outcome outcome, double sample, bool own) {
     bool failed = false;
@@ -173,7 +188,7 @@
       case Outcome::served:
         h.heard = now;
         h.fulls = 0;
-        learnPace(h, sample);
+        if (sample > 0) learnPace(h, sample);
         break;
       case Outcome::full:  // Danger: a host that stays full, or drains unannounced, looks idle.
         h.heard = now;
@@ -298,7 +313,7 @@
   Duration patience(const Open& r) const {
     const ClassState& c = classes[r.cls];
     const Duration left = lastUse(r) - now, least = lostAfter(r);
-    const bool again = losing() && c.set.effect != Effect::fragile && retryTokens >= 1;
+    const bool again = losing() && !r.stream && c.set.effect != Effect::fragile && retryTokens >= 1;
     return again && left / 2 > least ? std::min(left / 2, scaled(least, kLostPatience / kLostNorms)) : left;
   }
   static bool sick(const Host& h) { return h.health != Health::good || h.silent; }
@@ -514,7 +529,43 @@
     }
   }
 
+  // Tokens for the streams that may begin at a host, and room for what it may hold: this gateway's part, for
+  // a cold one its warmth of it. Danger: clients whose streams ended together come back together.
+  bool streamMayGo(Host& h) {
+    const double part = warmth(h) / set.groupSize;
+    if (set.hostStreams > 0 && static_cast<double>(h.streams) >= std::max(1.0, set.hostStreams * part))
+      return false;
+    if (set.streamRate <= 0) return true;
+    const double rate = set.streamRate * part;
+    h.streamTokens = std::min(h.streamTokens + rate * toSeconds(now - std::max(h.streamsAt, started)),
+                              std::max(1.0, rate * toSeconds(kStreamBurst)));
+    h.streamsAt = now;
+    return h.streamTokens >= 1;
+  }
+
+  // Danger: to the host with the fewest all would go at once after a deploy. All draw, those with fewer the
+  // oftener.
+  HostId pickStream(const Open& r) {
+    if (set.mostStreams > 0 && streams >= set.mostStreams) return kNone;
+    gather(r, false);
+    if (ready.empty()) gather(r, true);
+    ready.erase(
+        std::remove_if(ready.begin(), ready.end(), [&](HostId id) { return !streamMayGo(hosts[id]); }),
+        ready.end());
+    double all = 0, sum = 0;
+    for (HostId id : ready) all += static_cast<double>(hosts[id].streams);
+    HostId chosen = kNone;
+    for (HostId id : ready) {
+      const double fewer = all / static_cast<double>(ready.size()) - static_cast<double>(hosts[id].streams);
+      const double weight = std::clamp(1 + fewer, kStreamLeast, kStreamMost);
+      sum += weight;
+      if (drawUnit() * sum < weight) chosen = id;
+    }
+    return chosen;
+  }
+
   HostId pick(const Open& r) {
+    if (r.stream) return pickStream(r);
     const HostId cold = drawCold(r, 1);
     if (cold != kNone) return cold;
     gather(r, false, r.homeFirst);
@@ -566,18 +617,23 @@
     for (std::uint32_t i = 0; i < r.count; ++i) mayHaveRun |= r.tries[i].mayHaveRun;
     const bool harmless = !mayHaveRun || c.effect == Effect::retryable ||
                           (c.effect == Effect::dedup && c.group == Group::all && r.out == 0);
-    emit(harmless ? ActionKind::refuse : ActionKind::fail, r.id);
+    emit(harmless ? ActionKind::refuse : ActionKind::fail, r.id, 0, kNone,
+         harmless && r.stream ? returnAfter(r) : Duration{});
     end(r);
   }
 
   void refuse(Open& r) {  // unsent, for overload
-    // Retry-after lengthens as the score falls; jittered, or they would all come due together.
-    Duration after{};
-    if (set.retryAfter) after = scaled(set.maxRetryAfter, (1 - r.score / 100) * (0.5 + 0.5 * drawUnit()));
-    emit(ActionKind::refuse, r.id, 0, kNone, after);
+    emit(ActionKind::refuse, r.id, 0, kNone, returnAfter(r));
     end(r);
   }
 
+  // It lengthens as the score falls; jittered, or they would all come due together.
+  Duration returnAfter(const Open& r) {
+    if (r.stream && set.streamReturn > Duration{}) return scaled(set.streamReturn, 0.1 + 0.9 * drawUnit());
+    if (!set.retryAfter) return {};
+    return scaled(set.maxRetryAfter, (1 - r.score / 100) * (0.5 + 0.5 * drawUnit()));
+  }
+
   void end(Open& r) {
     r.ended = true;
     cancelOut(r);
@@ -611,6 +667,17 @@
   void letGo(Try& t) {
     if (std::exchange(t.held, false)) --hosts[t.host].inflight;
   }
+  void beginStream(Try& t) {
+    t.stream = true;
+    ++hosts[t.host].streams;
+    ++streams;
+    hosts[t.host].streamTokens -= 1;
+  }
+  void endStream(Try& t) {
+    if (!std::exchange(t.stream, false)) return;
+    --hosts[t.host].streams;
+    --streams;
+  }
 
   bool send(Open& r, HostId id, bool advised = false) {
     if (id == kNone || !canSend(r)) return false;
@@ -618,6 +685,7 @@
     if (isCold(h)) h.coldTokens -= 1;
     r.tries[r.count] = {id, now, true, true, false};
     if (!r.coming) hold(r, r.tries[r.count]);
+    if (r.stream) beginStream(r.tries[r.count]);
     ++h.refs;
     ++r.out;
     emit(ActionKind::send, r.id, r.count++, id, patience(r));
@@ -642,7 +710,7 @@
     if (drawn == kNone) return false;
     r.load = -1;
     const Duration wait = scaled(classes[r.cls].set.aim, kLookOfAim);
-    if (!looks() || lastUse(r) - now < 2 * wait) return send(r, drawn);
+    if (r.stream || !looks() || lastUse(r) - now < 2 * wait) return send(r, drawn);
     r.best = kNone;
     r.bestLoad = HUGE_VAL;
     if (set.probes) {
@@ -788,8 +856,28 @@
     r.earlier = q.earlier;
     r.once = r.coming = q.arriving;
     r.homeFirst = q.homeFirst;
+    r.stream = q.stream;
     r.came = now;
     r.deadline = now + q.left;
+    if (r.stream) r.aimAt = r.deadline;
+    else expect(r, c, q);
+    retryTokens = std::min(retryTokens + kRetryShare, kRetryBurst);
+    arrivals += 1;
+    r.score = scoreOf(worthOf(r, q.tenantIndex));
+    if (!looks()) smoothHeld += (heldNow() - smoothHeld) * kHeldGain;
+    renewCut();
+    if (r.score < cut && r.earlier) {
+      finish(r);
+    } else if (r.score < cut) {
+      refuse(r);
+    } else {
+      if (!r.coming) guards.push({r.deadline - set.step, r.id});
+      if (!route(r)) finish(r);
+    }
+  }
+
+  // By when it is wanted.
+  void expect(Open& r, ClassState& c, const Request& q) {
     // Clients give single tries the same time, and a later one what is left of their total wait. A try whose
     // time is not the usual one (a running median) tells how much was spent before; that no longer earns.
     if (c.usualLeft == Duration{}) c.usualLeft = q.left;
@@ -807,19 +895,6 @@
     const Duration lateEarns = scaled(std::min(c.usualLeft - c.set.aim, c.set.aim), c.set.lateShare);
     meanAim += kNormGain * (toSeconds(c.set.aim + lateEarns) - meanAim);
     if (c.norm > 0) meanWork += (meanWork > 0 ? kNormGain : 1.0) * (c.norm * r.cost - meanWork);
-    retryTokens = std::min(retryTokens + kRetryShare, kRetryBurst);
-    arrivals += 1;
-    r.score = scoreOf(worthOf(r, q.tenantIndex));
-    if (!looks()) smoothHeld += (heldNow() - smoothHeld) * kHeldGain;
-    renewCut();
-    if (r.score < cut && r.earlier) {
-      finish(r);
-    } else if (r.score < cut) {
-      refuse(r);
-    } else {
-      if (!r.coming) guards.push({r.deadline - set.step, r.id});
-      if (!route(r)) finish(r);
-    }
   }
 
   void onResult(const AttemptResult& a) {
@@ -830,6 +905,7 @@
     t.out = false;
     --r.out;
     letGo(t);
+    endStream(t);
     if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
       t.mayHaveRun = false;
     judge(t.host, r, a);
@@ -876,6 +952,9 @@
     if (!r || r->ended || attempt >= r->count) return;
     r->bound = true;
     cancelOut(*r, attempt);
+    if (!r->stream) return;
+    letGo(r->tries[attempt]);
+    hosts[r->tries[attempt].host].heard = now;
   }
 
   void onClientGone(RequestId id) {
@@ -1083,5 +1162,7 @@
 }
 double Balancer::cutoff() const { return impl_->cut; }
 std::size_t Balancer::openRequests() const { return impl_->requests.size(); }
+std::size_t Balancer::streams(HostId host) const { return knows(host) ? impl_->hosts[host].streams : 0; }
+std::size_t Balancer::streams() const { return impl_->streams; }
 
 }  // namespace ridgeshift
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -111,6 +111,8 @@
   require(s.overShareWorth >= 0 && s.overShareWorth <= 1, "overShareWorth must lie in [0, 1]");
   for (Duration d : {s.maxRetryAfter, s.askWithin, s.step, s.coldTime, s.fallWindow})
     require(d >= Duration::zero(), "durations must not be negative");
+  require(std::isfinite(s.streamRate) && s.streamRate >= 0, "streamRate must be 0 or more");
+  require(s.streamReturn >= Duration::zero(), "streamReturn must not be negative");
   for (const ClassSettings& c : s.classes) {
     require(!c.name.empty(), "a class has no name");
     require(c.aim > Duration::zero(), "class " + c.name + ": aim must be above 0");
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -69,6 +69,9 @@
   Time restUntil{};
   double coldTokens = 0;
   Time coldAt{};
+  std::size_t streams = 0;  // that it holds, or is sent
+  double streamTokens = 1;
+  Time streamsAt{};
   std::deque<RequestId> sent;    // in order of sending
   std::deque<RequestId> probes;  // requests that wait for its report
   std::uint64_t group = 0;       // of the hosts that have one keeper
@@ -117,7 +120,8 @@
   HostId host = kNone;
   Time at{};
   bool out = false, mayHaveRun = false, cancelled = false;
-  bool held = false;  // counts as held by the host
+  bool held = false;    // counts as held by the host
+  bool stream = false;  // counts among its streams
 };
 
 struct Open {
@@ -127,7 +131,7 @@
   double cost = 0;  // against the class's mean
   std::uint64_t key = 0;
   bool hasKey = false, ended = false, bound = false;
-  bool homeFirst = false;
+  bool homeFirst = false, stream = false;
   bool once = false, coming = false;  // can be sent once only; its last byte is not here yet
   Time came{};
   double score = 0, load = -1;  // load: held by the host that a look found; below 0: not known
@@ -197,6 +201,7 @@
   double lostTime = 0, heldTime = 0;   // seconds of an attempt: of the lost, of all
   double bareOfAim = 0, bareSeen = 0;  // time for each request held, against the aim
   double retryTokens = 0;
+  std::size_t streams = 0;
   bool asking = false, answered = false;
   Time askedAt{}, askAgain{};
   int askFailures = 0;
--- /dev/null
+++ b/tests/policy/streams_test.cpp
@@ -0,0 +1,266 @@
+// Streams: picked by how many a host holds, bounded, spread over time, and no load in flight once they have
+// begun.
+#include <algorithm>
+
+#include "support/driver.hpp"
+
+namespace ridgeshift::testing {
+namespace {
+
+RequestId askStream(Driver& d, std::uint32_t cls = 1, Duration left = milliseconds(1000)) {
+  Request q;
+  q.id = ++d.last;
+  q.classIndex = cls;
+  q.left = left;
+  q.stream = true;
+  d.balancer.onRequest(d.now, q);
+  d.collect();
+  return q.id;
+}
+
+void begin(Driver& d, const Sent& s) {
+  d.balancer.onAnswerStarted(d.now, s.request, s.attempt);
+  d.collect();
+}
+
+// What is out begins; returns it.
+std::vector<Sent> beginAll(Driver& d, std::size_t from) {
+  const std::vector<Sent> begun(d.sent.begin() + static_cast<std::ptrdiff_t>(from), d.sent.end());
+  for (const Sent& s : begun) begin(d, s);
+  return begun;
+}
+
+TEST(Streams, TheyGoToHostsThatHoldFew) {
+  Driver d(makeSettings());
+  for (int i = 0; i < 600; ++i) {
+    const std::size_t before = d.sent.size();
+    askStream(d);
+    beginAll(d, before);
+    d.advance(milliseconds(5));
+  }
+  ASSERT_EQ(d.sent.size(), 600u);
+  for (int h = 0; h < 6; ++h) EXPECT_NEAR(static_cast<double>(d.balancer.streams(d.host(h))), 100, 5) << h;
+  EXPECT_EQ(d.balancer.streams(), 600u);
+}
+
+// Danger: all that come at once would go to the one that is empty.
+TEST(Streams, AnEmptyHostFillsUpWithoutTakingAllThatComes) {
+  Driver d(makeSettings(), 5);
+  for (int i = 0; i < 500; ++i) {
+    const std::size_t before = d.sent.size();
+    askStream(d);
+    beginAll(d, before);
+  }
+  HostEntry fresh = makeHost(5);  // long up: the cold start is another matter
+  d.balancer.onHosts(d.now, ListKind::update, {fresh});
+  d.collect();
+  d.forget();
+  for (int i = 0; i < 40; ++i) {
+    const std::size_t before = d.sent.size();
+    askStream(d);
+    beginAll(d, before);
+  }
+  EXPECT_GT(d.sentTo(d.host(5)), 20u);
+  for (int i = 0; i < 60; ++i) {
+    const std::size_t before = d.sent.size();
+    askStream(d);
+    beginAll(d, before);
+  }
+  EXPECT_LT(d.sentTo(d.host(5)), 100u);
+  EXPECT_GT(d.sentTo(d.host(5)), 55u);
+}
+
+TEST(Streams, OnceBegunTheyAreNoLoadInFlight) {
+  Driver d(makeSettings());
+  d.warmUp(0, 100);
+  for (int i = 0; i < 2000; ++i) {
+    const std::size_t before = d.sent.size();
+    askStream(d);
+    beginAll(d, before);
+  }
+  d.advance(seconds(1));
+  EXPECT_LT(d.balancer.cutoff(), 1);
+  // Requests find idle hosts, as if no stream were held.
+  d.out.clear();
+  d.forget();
+  for (int i = 0; i < 6; ++i) d.request(0);
+  std::vector<HostId> to;
+  for (const Sent& s : d.sent) to.push_back(s.host);
+  std::sort(to.begin(), to.end());
+  EXPECT_EQ(std::unique(to.begin(), to.end()), to.end());
+}
+
+TEST(Streams, BeforeTheyHaveBegunTheyAre) {
+  Driver d(makeSettings());
+  d.warmUp(0, 100);
+  for (int i = 0; i < 300; ++i) askStream(d);
+  d.advance(milliseconds(200));
+  std::size_t refused = 0;
+  for (int i = 0; i < 100; ++i) refused += d.refused(askStream(d));
+  EXPECT_GT(refused, 90u);
+}
+
+// A flood of upgrades is refused by worth below the same cutoff.
+TEST(Streams, TheCheaperAreRefusedFirst) {
+  Driver d(makeSettings());
+  d.warmUp(0, 100);
+  std::size_t cheap = 0, dear = 0;
+  for (int i = 0; i < 400; ++i) {
+    cheap += d.refused(askStream(d, 1));
+    dear += d.refused(askStream(d, 0));
+    d.advance(milliseconds(5));
+    while (d.out.size() > 12) {  // as many as begin, of those that wait to
+      begin(d, d.out.front());
+      d.out.erase(d.out.begin());
+    }
+  }
+  EXPECT_GT(cheap, 2 * dear);
+  EXPECT_GT(cheap, 50u);
+}
+
+TEST(Streams, AHostHoldsNoMoreThanItsBound) {
+  Settings s = makeSettings();
+  s.hostStreams = 20;
+  s.groupSize = 2;  // half of it is ours
+  Driver d(s, 4);
+  for (int i = 0; i < 100; ++i) {
+    const std::size_t before = d.sent.size();
+    askStream(d);
+    beginAll(d, before);
+  }
+  for (int h = 0; h < 4; ++h) EXPECT_EQ(d.balancer.streams(d.host(h)), 10u);
+  EXPECT_EQ(d.sent.size(), 40u);
+  EXPECT_EQ(d.answers.size(), 60u);
+  d.serve(Sent(d.sent[0]));  // one ends: there is room for one
+  const std::size_t before = d.sent.size();
+  askStream(d);
+  askStream(d);
+  EXPECT_EQ(d.sent.size(), before + 1);
+}
+
+TEST(Streams, TheGatewayHoldsNoMoreThanItsBound) {
+  Settings s = makeSettings();
+  s.mostStreams = 7;
+  Driver d(s);
+  for (int i = 0; i < 20; ++i) askStream(d);
+  EXPECT_EQ(d.sent.size(), 7u);
+  for (const Sent& one : std::vector<Sent>(d.out)) d.settle(one, Outcome::connectFailed, false);
+  EXPECT_LE(d.balancer.streams(), 7u);
+}
+
+// 2,000 come back in one second after a deploy: each host is given its rate, and the others are told to come
+// back at times of their own.
+TEST(Streams, AStormIsSpreadOverTimeByTheRateOfEachHost) {
+  Settings s = makeSettings();
+  s.streamRate = 10;
+  s.streamReturn = seconds(10);
+  Driver d(s, 6);
+  std::vector<RequestId> asked;
+  for (int i = 0; i < 2000; ++i) {
+    const std::size_t before = d.sent.size();
+    asked.push_back(askStream(d));
+    beginAll(d, before);
+    if (i % 10 == 9) d.advance(milliseconds(5));
+  }
+  for (int h = 0; h < 6; ++h) {
+    EXPECT_GE(d.sentTo(d.host(h)), 8u);
+    EXPECT_LE(d.sentTo(d.host(h)), 14u);  // of one second, and what may come at once
+  }
+  Duration least = seconds(100), most{};
+  std::size_t early = 0, refused = 0;
+  for (const RequestId id : asked) {
+    if (!d.refused(id)) continue;
+    ++refused;
+    least = std::min(least, d.retryAfter[id]);
+    most = std::max(most, d.retryAfter[id]);
+    early += d.retryAfter[id] < seconds(5) + milliseconds(500);
+  }
+  EXPECT_EQ(refused + d.sent.size(), 2000u);
+  EXPECT_GE(least, seconds(1));
+  EXPECT_LE(most, seconds(10));
+  EXPECT_NEAR(static_cast<double>(early) / static_cast<double>(refused), 0.5, 0.06);
+}
+
+// All gateways together keep a cold host to its part; streams count in it.
+TEST(Streams, AColdHostIsGivenItsPartOnly) {
+  Settings s = makeSettings();
+  s.streamRate = 20;
+  Driver d(s, 5);
+  d.warmUp(0, 200);
+  HostEntry cold = makeHost(5);
+  cold.upSince = d.now;
+  d.balancer.onHosts(d.now, ListKind::update, {cold});
+  d.collect();
+  d.forget();
+  for (int i = 0; i < 400; ++i) {  // two seconds
+    for (int k = 0; k < 5; ++k) {
+      const std::size_t before = d.sent.size();
+      askStream(d);
+      beginAll(d, before);
+    }
+    d.advance(milliseconds(5));
+  }
+  // Warmth is 0.2 to 0.36 by then: at the most that part of 20 a second for two seconds, and one burst.
+  EXPECT_LE(d.sentTo(d.host(5)), 14u);
+  EXPECT_GE(d.sentTo(d.host(5)), 3u);
+  EXPECT_GE(d.sentTo(d.host(0)), 38u);
+}
+
+TEST(Streams, OneThatCouldNotBeginGoesToAnotherHost) {
+  Driver d(makeSettings());
+  const RequestId id = askStream(d);
+  const HostId first = d.lastSent().host;
+  d.settle(d.lastSent(), Outcome::connectFailed, false);
+  ASSERT_EQ(d.sent.size(), 2u);
+  EXPECT_NE(d.lastSent().host, first);
+  EXPECT_EQ(d.balancer.streams(first), 0u);
+  EXPECT_EQ(d.balancer.streams(d.lastSent().host), 1u);
+  begin(d, d.lastSent());
+  d.advance(seconds(3600), seconds(1));  // neither time-out nor deadline applies any more
+  EXPECT_FALSE(d.refused(id) || d.failed(id));
+  EXPECT_EQ(d.balancer.streams(), 1u);
+  d.settle(d.lastSent(), Outcome::reset, true);
+  EXPECT_FALSE(d.refused(id) || d.failed(id));  // it has ended, and nothing is sent again
+  EXPECT_EQ(d.sent.size(), 2u);
+  EXPECT_EQ(d.balancer.streams(), 0u);
+  EXPECT_EQ(d.balancer.openRequests(), 0u);
+}
+
+TEST(Streams, OneThatMayHaveRunIsFailedAndNotSentAgain) {
+  Driver d(makeSettings());
+  const RequestId id = askStream(d);  // of a class that may not run twice
+  d.settle(d.lastSent(), Outcome::reset, false);
+  EXPECT_TRUE(d.failed(id));
+  EXPECT_EQ(d.sent.size(), 1u);
+}
+
+TEST(Streams, AStreamOfADrainingHostStaysUntilItsEnd) {
+  Driver d(makeSettings());
+  askStream(d);
+  const Sent s = d.lastSent();
+  begin(d, s);
+  HostEntry entry = makeHost(0);
+  for (int h = 0; h < 6; ++h)
+    if (d.host(h) == s.host) entry = makeHost(h, "east", h % 2);
+  entry.phase = Phase::out;
+  d.balancer.onHosts(d.now, ListKind::update, {entry});
+  d.collect();
+  d.advance(seconds(2));
+  EXPECT_TRUE(d.balancer.knows(s.host));
+  EXPECT_EQ(d.balancer.streams(s.host), 1u);
+  d.serve(s);
+  d.advance(seconds(1));
+  EXPECT_FALSE(d.balancer.knows(s.host));
+}
+
+TEST(Streams, SettingsThatMakeNoSenseAreTurnedDown) {
+  Settings s = makeSettings();
+  s.streamRate = -1;
+  EXPECT_THROW(Driver d(s), std::invalid_argument);
+  s = makeSettings();
+  s.streamReturn = -seconds(1);
+  EXPECT_THROW(Driver d(s), std::invalid_argument);
+}
+
+}  // namespace
+}  // namespace ridgeshift::testing
