--- /dev/null
+++ b/src/websocket/codec.cpp
@@ -0,0 +1,50 @@
+#include "websocket/codec.hpp"
+
+namespace finchstile::websocket {
+
+using stream::Ender;
+using stream::Ending;
+using stream::Side;
+using stream::Why;
+
+namespace {
+
+FrameRules rulesOf(const CodecRules& r, bool masked) { return {r.checked, masked, r.deflate, r.frameMost, r.messageMost}; }
+
+}  // namespace
+
+WebSocketCodec::WebSocketCodec(const CodecRules& rules, std::function<std::uint32_t()> draw)
+    : rules_(rules), draw_(std::move(draw)), client_(rulesOf(rules, true)), host_(rulesOf(rules, false)) {}
+
+stream::Codec::Look WebSocketCodec::look(Side from, const char* bytes, std::size_t n, bool stop) {
+  const FrameReader::Step s = reader(from).feed(bytes, n, stop);
+  Look out{s.pass, {}};
+  if (s.fault) {
+    fault_ = *s.fault;
+    out.fault = *s.fault == CloseCode::tooBig ? Why::tooBig : Why::protocol;
+  }
+  return out;
+}
+
+CloseCode closeCodeFor(Side to, const Ending& e, CloseCode fault) {
+  if (e.who == Ender::gateway) return CloseCode::goingAway;
+  const Side culprit = e.who == Ender::client ? Side::client : Side::host;
+  if (to == culprit && (e.why == Why::protocol || e.why == Why::tooBig)) return fault;
+  // The host learns that its client is gone; the client, that it was the host.
+  return to == Side::host ? CloseCode::goingAway : CloseCode::badGateway;
+}
+
+std::string WebSocketCodec::farewell(Side to, const Ending& e) {
+  return frame(to, 8, closePayload(closeCodeFor(to, e, fault_), stream::nameOf(e.why)));
+}
+
+// 5.1: what goes to the host is a client's frame, and masked.
+std::string WebSocketCodec::frame(Side to, unsigned opcode, std::string_view payload) {
+  if (to == Side::client) return writeFrame(opcode, payload);
+  const std::uint32_t key = draw_();
+  return writeFrame(opcode, payload,
+                    std::array<unsigned char, 4>{static_cast<unsigned char>(key >> 24), static_cast<unsigned char>(key >> 16),
+                                                 static_cast<unsigned char>(key >> 8), static_cast<unsigned char>(key)});
+}
+
+}  // namespace finchstile::websocket
--- /dev/null
+++ b/src/websocket/codec.hpp
@@ -0,0 +1,46 @@
+// WebSocket on a stream: frames in both directions, its own words for the end, pings. No I/O; chance is passed
+// in.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "stream/codec.hpp"
+#include "websocket/frames.hpp"
+
+namespace finchstile::websocket {
+
+struct CodecRules {
+  bool checked = true, deflate = false;
+  std::uint64_t frameMost = 1 << 20, messageMost = 16 << 20;
+  Duration pingAfter{}, pingAnswer{};
+};
+
+class WebSocketCodec : public stream::Codec {
+ public:
+  // `draw` gives the masks of our own frames towards the host (RFC 6455, 5.3): not to be guessed.
+  WebSocketCodec(const CodecRules& rules, std::function<std::uint32_t()> draw);
+
+  Look look(stream::Side from, const char* bytes, std::size_t n, bool stop) override;
+  bool atBoundary(stream::Side from) const override { return reader(from).atBoundary(); }
+  bool saidEnd(stream::Side from) const override { return reader(from).closed(); }
+  std::string farewell(stream::Side to, const stream::Ending& ending) override;
+  std::string ping(stream::Side to) override { return frame(to, 9, {}); }
+  Duration pingAfter() const override { return rules_.pingAfter; }
+  Duration pingAnswer() const override { return rules_.pingAnswer; }
+
+ private:
+  FrameReader& reader(stream::Side s) { return s == stream::Side::client ? client_ : host_; }
+  const FrameReader& reader(stream::Side s) const { return s == stream::Side::client ? client_ : host_; }
+  std::string frame(stream::Side to, unsigned opcode, std::string_view payload);
+
+  const CodecRules rules_;
+  const std::function<std::uint32_t()> draw_;
+  FrameReader client_, host_;
+  CloseCode fault_ = CloseCode::protocolError;  // of the side that broke the rules
+};
+
+// What each side is told of an ending. `fault`: the code of the side at fault.
+CloseCode closeCodeFor(stream::Side to, const stream::Ending& ending, CloseCode fault);
+
+}  // namespace finchstile::websocket
