--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -54,7 +54,11 @@
     idempotency::readIdempotencySettings(root, folder, out.idempotency);
     peer::readPeerSettings(root, folder, out.peers);
     crossing::readCrossingSettings(root, out.crossing);
-    stream::readStreamSettings(root, out.streams);
+    stream::readStreamSettings(root, out.streams, [&](SettingReader& streams) {
+      websocket::readWebSocketSettings(streams, out.webSocket);
+      if (out.webSocket.enabled && !out.streams.enabled)
+        streams.error("websocket", "needs [streams], enabled, that holds its streams");
+    });
     if (out.idempotency.owners.enabled && !out.peers.enabled)
       root.error("idempotency", "owners need [peers], enabled, for the other gateways");
   }
--- a/src/app/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -14,6 +14,7 @@
 #include "operator/document.hpp"
 #include "peer/settings.hpp"
 #include "stream/settings.hpp"
+#include "websocket/settings.hpp"
 
 namespace finchstile {
 
@@ -24,6 +25,7 @@
   peer::PeerSettings peers;
   crossing::CrossingSettings crossing;
   stream::StreamSettings streams;
+  websocket::WebSocketSettings webSocket;
 };
 
 // All that is wrong with a file, a line each, in the order of the file's lines: "FILE:LINE: WHAT".
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -30,6 +30,7 @@
 #include "net/gateway.hpp"
 #include "stream/table.hpp"
 #include "stream/tcp_front.hpp"
+#include "websocket/front.hpp"
 
 namespace finchstile {
 namespace {
@@ -233,6 +234,11 @@
                                               *streams_);
     gateway_.attach(*tcp_);
     tcp_->start();
+    if (built_.file.webSocket.enabled) {
+      webSocket_ = std::make_unique<websocket::WebSocketFront>(
+          clock_, built_.file.webSocket, config_.name, [this] { return dice_(); }, *streams_);
+      gateway_.setUpgrades(*webSocket_);
+    }
     waitToReport();
   }
 
@@ -270,6 +276,8 @@
   Gateway gateway_;
   std::unique_ptr<stream::StreamTable> streams_;
   std::unique_ptr<stream::TcpFront> tcp_;
+  std::random_device dice_;
+  std::unique_ptr<websocket::WebSocketFront> webSocket_;
   std::unique_ptr<OpsDesk> desk_;
   std::unique_ptr<Succession> succession_;
   bool attached_ = false;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -512,6 +512,22 @@
   await();
 }
 
+std::optional<ClientSession::Left> ClientSession::leave() {
+  if (state_ != State::waiting || partial_) return std::nullopt;
+  const auto self = shared_from_this();
+  request_ = 0;
+  enter(State::closed);
+  error_code ignored;
+  socket_.cancel(ignored);
+  const auto early = buffer_.data();
+  return Left{std::move(socket_), std::string(static_cast<const char*>(early.data()), early.size())};
+}
+
+tcp::endpoint ClientSession::from() const {
+  error_code ignored;
+  return socket_.remote_endpoint(ignored);
+}
+
 void ClientSession::closeIdle() {
   // Danger: a request may have come since the last look; it is read, not reset.
   char byte = 0;
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -143,6 +143,14 @@
   // can tell that it is not whole.
   void pass(std::string&& piece, bool last);
   void cut();
+  // Its connection leaves HTTP in place of an answer, with what was read behind the request. None: its client
+  // has gone.
+  struct Left {
+    tcp::socket socket;
+    std::string early;
+  };
+  std::optional<Left> leave();
+  tcp::endpoint from() const;  // of its client; none if it has gone
 
  private:
   friend class Listener;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -150,6 +150,9 @@
 void Gateway::onClientRequest(const std::shared_ptr<ClientSession>& session, ClientRequest&& message,
                               bool whole) {
   if (answerOwnPaths(*session, message)) return;
+  const bool upgrade = upgrades_ && upgrades_->asks(message);
+  if (upgrade)
+    if (std::optional<Answer> no = upgrades_->check(message)) return session->answer(std::move(*no));
   ridgeshift::Request q;
   http::status usable = reader_.read(message, q);
   // Danger: under the id of a request that is still open a host would take it for a second copy.
@@ -168,6 +171,12 @@
   r.message = std::make_shared<const ClientRequest>(std::move(message));
   r.classIndex = q.classIndex;
   r.arriving = q.arriving = !whole;
+  if (upgrade) {
+    q.stream = true;
+    q.left = std::min(q.left, upgrades_->longest());
+    r.upgrade = std::make_unique<UpgradeAsked>(UpgradeAsked{session->from(), clock_.now()});
+    upgrades_->onAsked();
+  }
   session->setRequest(q.id);
   Arrival arrival;
   if (!stages_.empty()) {
@@ -320,6 +329,7 @@
 void Gateway::end(RequestId id, RequestRecord& r, RequestEnd how) {
   letGo(id, r);
   r.ended = true;
+  if (const auto asked = std::exchange(r.upgrade, nullptr)) upgrades_->onNotBegun(*asked, how);
   if (const auto x = std::exchange(r.exchange, nullptr)) stages_.ended(*x, how);
 }
 
@@ -376,6 +386,10 @@
   if (whole) to.set("X-Time-Left-Ms", std::to_string(left));
   else to.set("X-Time-Left-Ms", from["X-Time-Left-Ms"]);
   to.body() = from.body();
+  if (r->second.upgrade) {
+    out.upgrade = true;
+    for (const HeaderLine& line : upgrades_->toHost(from)) to.insert(line.name, line.value);
+  }
   if (!whole) {
     if (const auto length = from[http::field::content_length]; !length.empty())
       to.set(http::field::content_length, length);
@@ -495,6 +509,54 @@
   armTimer();
 }
 
+// Its one final answer is the 101; from here on it is a stream.
+void Gateway::onUpgraded(AttemptId id, tcp::socket&& socket, std::string&& early, const http::fields& head) {
+  const auto it = attempts_.find(id);
+  const auto found = it == attempts_.end() ? requests_.end() : requests_.find(it->second.request);
+  if (found == requests_.end()) return;
+  RequestRecord& r = found->second;
+  std::optional<Upgrades::Accepted> accepted;
+  if (!r.ended && r.upgrade) accepted = upgrades_->accepted(*r.message, head);
+  const auto client = r.client.lock();
+  std::optional<ClientSession::Left> left;
+  if (accepted && client) left = client->leave();
+  if (!left) {
+    // Anything but the answer to this request: it may have run, and its connection is of no further use.
+    settle(id, r.ended ? Outcome::cancelled : Outcome::reset, {});
+    return carryOut();
+  }
+  const AttemptRecord a = it->second;
+  attempts_.erase(it);
+  limits_.erase({a.limit, id});
+  --r.out;
+  const auto host = hosts_.find(a.host);
+  if (Exchange* const x = r.exchange.get()) {
+    stages_.settled(*x, true);
+    stages_.answerHead(*x, {101, true, &head, {}, {}, true, 0}, accepted->toClient);
+    stages_.answerDone(*x);
+  }
+  ++counts_[r.classIndex].answered;
+  std::string lines = "HTTP/1.1 101 Switching Protocols\r\n";
+  for (const HeaderLine& h : accepted->toClient)
+    lines.append(h.name).append(": ").append(h.value).append("\r\n");
+  lines += "\r\n";
+  Upgraded u{a.request,
+             a.number,
+             a.host,
+             host == hosts_.end() ? "" : host->second.listed.address,
+             *std::exchange(r.upgrade, nullptr),
+             std::move(left->socket),
+             std::move(socket),
+             std::move(left->early),
+             std::move(early),
+             std::move(lines),
+             accepted->agreed};
+  end(a.request, r, RequestEnd::served);
+  releaseIfOver(a.request);
+  upgrades_->take(std::move(u));
+  carryOut();
+}
+
 void Gateway::onOutcome(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
   settle(id, outcome, std::move(upstream));
   carryOut();
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -24,6 +24,7 @@
 #include "net/front.hpp"
 #include "net/request.hpp"
 #include "net/stage.hpp"
+#include "net/upgrade.hpp"
 #include "net/upstream.hpp"
 #include "ridgeshift/ridgeshift.hpp"
 
@@ -46,6 +47,7 @@
   // Fronts must outlive the gateway. Before `start`.
   void attach(Front& front) { fronts_.push_back(&front); }
   FrontHost& frontHost() { return *this; }
+  void setUpgrades(Upgrades& upgrades) { upgrades_ = &upgrades; }  // must outlive the gateway
   void start();
   // Goes over to the discovery that `next` names; hosts, requests and connections stay as they are. All else
   // in it takes effect at the next start.
@@ -90,8 +92,9 @@
     std::size_t out = 0;
     std::unique_ptr<Exchange> exchange;  // null while no stage is attached
     RequestEnd end = RequestEnd::failed;
-    bool ran = false;  // an attempt that has ended may have run
-    Time heldUntil{};  // by a stage; 0: it is not held
+    bool ran = false;                       // an attempt that has ended may have run
+    Time heldUntil{};                       // by a stage; 0: it is not held
+    std::unique_ptr<UpgradeAsked> upgrade;  // it asks to leave HTTP, and has not yet
   };
   struct AttemptRecord {
     ridgeshift::RequestId request = 0;
@@ -131,6 +134,8 @@
                      std::optional<std::uint64_t> length) override;
   void onAnswerPiece(AttemptId attempt, std::string&& piece, bool last) override;
   void onAnswerCut(AttemptId attempt) override;
+  void onUpgraded(AttemptId attempt, tcp::socket&& socket, std::string&& early,
+                  const boost::beast::http::fields& head) override;
   void onOutcome(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer) override;
   void onHostList(HostList&& list) override;
   void onDiscoveryLost() override;
@@ -195,6 +200,7 @@
   RequestReader reader_;
   StageChain stages_;
   std::vector<Front*> fronts_;
+  Upgrades* upgrades_ = nullptr;
   std::unordered_map<ridgeshift::RequestId, Front*> asked_;  // requests of fronts that are not over
   std::unordered_set<std::string> openIds_;                  // clients' ids of `requests_`
   std::unordered_map<ridgeshift::HostId, HostRecord> hosts_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -85,6 +85,7 @@
     interims_ = 0;
     relaying_ = false;
     coming_ = !out.whole;
+    upgrade_ = out.upgrade;
     lastByteOut_ = false;
     std::ostringstream bytes;
     if (coming_) bytes << out.message.base();
@@ -241,6 +242,8 @@
         case Step::bad: return broken();
         case Step::head:
           if (reader_.parser().get().result_int() >= 200) pool_.events_.onHead(attempt_);
+          if (reader_.parser().get().result() == http::status::switching_protocols)
+            return upgrade_ ? upgraded() : broken();
           if (reader_.parser().content_length().value_or(0) > kWholeMost) return begin();
           break;
         case Step::more:
@@ -270,6 +273,24 @@
     });
   }
 
+  void upgraded() {
+    stopTimer();
+    const auto self = shared_from_this();
+    const AttemptId attempt = std::exchange(attempt_, 0);
+    pool_.attempts_.erase(attempt);
+    closed_ = true;  // to the pool
+    --pool_.connections_;
+    --pool_.upstreams_[host].connections;
+    error_code ignored;
+    timer_.cancel();
+    socket_.cancel(ignored);
+    const auto early = buffer_.data();
+    const http::fields head = static_cast<const http::fields&>(reader_.parser().get().base());
+    pool_.events_.onUpgraded(attempt, std::move(socket_),
+                             std::string(static_cast<const char*>(early.data()), early.size()), head);
+    pool_.connectMore(host);
+  }
+
   // An answer that is longer than is held whole. Of one that is not served only the head counts.
   void begin() {
     stopTimer();
@@ -370,6 +391,7 @@
   bool coming_ = false, chunked_ = false;  // the request: more of its body is to be fed
   bool relaying_ = false;                  // the answer goes on piece by piece
   bool watchingEarly_ = false;
+  bool upgrade_ = false;  // 101 is an answer to the request
 };
 
 UpstreamPool::UpstreamPool(asio::io_context& io, const Clock& clock, Limits limits, UpstreamEvents& events)
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -31,7 +31,8 @@
 
 struct Outgoing {
   UpstreamRequest message;
-  bool whole = true;  // else more of its body follows: by its Content-Length, or chunked if it has none
+  bool whole = true;     // else more of its body follows: by its Content-Length, or chunked if it has none
+  bool upgrade = false;  // it asks for a connection that leaves HTTP: 101 is an answer to it
 };
 
 class UpstreamEvents {
@@ -52,6 +53,9 @@
                              std::optional<std::uint64_t> length) = 0;
   virtual void onAnswerPiece(AttemptId attempt, std::string&& piece, bool last) = 0;
   virtual void onAnswerCut(AttemptId attempt) = 0;
+  // Answered by 101: the connection is no more of the pool's. It ends the attempt.
+  virtual void onUpgraded(AttemptId attempt, tcp::socket&& socket, std::string&& early,
+                          const boost::beast::http::fields& head) = 0;
 };
 
 class UpstreamPool {
--- a/src/stream/relay.cpp
+++ b/src/stream/relay.cpp
@@ -52,6 +52,7 @@
     p.end = early.size();
     p.looked = codec_ ? 0 : p.end;
   }
+  pipe(Side::host).own = std::move(parts.greeting);
 }
 
 Relay::~Relay() {
@@ -99,7 +100,7 @@
 
 bool Relay::mayPutOwn(Side from) const {
   const Pipe& p = pipe(from);
-  return !p.own.empty() && (p.ownAt > 0 || (p.begin == p.looked && codec_->atBoundary(from)));
+  return !p.own.empty() && (p.ownAt > 0 || (p.begin == p.looked && (!codec_ || codec_->atBoundary(from))));
 }
 
 // Does what can be done now in one direction, and waits for the rest.
@@ -109,7 +110,7 @@
     if (p.writing) return;
     if (mayPutOwn(from) || p.begin < p.looked) {
       if (!writeSome(from)) return;
-    } else if (p.looked < p.end) {
+    } else if (p.looked < p.end && !p.hungry) {
       lookOn(from);
     } else if (p.ended) {
       release(p);
@@ -171,12 +172,23 @@
 
 bool Relay::readSome(Side from) {
   Pipe& p = pipe(from);
-  if (p.grant.size == 0) release(p);  // what came with the handshake
-  hold(p);
+  // The beginning of a header stays where it is until the rest has come.
+  const std::size_t rest = p.end - p.looked;
+  if (rest > 0 && p.grant.size > 0) {
+    std::memmove(p.piece.get(), p.piece.get() + p.looked, rest);
+  } else {
+    const std::string early(rest > 0 ? p.piece.get() + p.looked : "", rest);
+    if (p.grant.size == 0) release(p);  // what came with the handshake
+    hold(p);
+    std::memcpy(p.piece.get(), early.data(), rest);
+  }
+  p.begin = p.looked = 0;
+  p.end = rest;
   error_code error;
-  const std::size_t n = socket(from).read_some(asio::buffer(p.piece.get(), p.grant.size), error);
+  const std::size_t n =
+      socket(from).read_some(asio::buffer(p.piece.get() + rest, p.grant.size - rest), error);
   if (again(error)) {
-    release(p);
+    if (rest == 0) release(p);
     waitToRead(from);
     return false;
   }
@@ -195,13 +207,13 @@
     broken(from);
     return false;
   }
-  p.begin = 0;
-  p.looked = codec_ ? 0 : n;
-  p.end = n;
+  p.end = rest + n;
+  p.looked = codec_ ? 0 : p.end;
+  p.hungry = false;
   const Time now = clock_.now();
   flow_.onMoved(now);
   p.heard = now;
-  p.pinged = false;
+  if (std::exchange(p.pinged, false)) setDue();  // else it would be asked again only when this answer was due
   return true;
 }
 
@@ -211,9 +223,10 @@
     p.begin = p.looked = p.end;
     return;
   }
-  const Codec::Look look =
-      codec_->look(from, p.piece.get() + p.looked, p.end - p.looked, !p.own.empty() && !p.muted);
+  const bool stop = !p.own.empty() && !p.muted;
+  const Codec::Look look = codec_->look(from, p.piece.get() + p.looked, p.end - p.looked, stop);
   p.looked += look.pass;
+  p.hungry = p.looked < p.end && !(stop && look.pass > 0);
   if (p.muted) p.begin = p.looked;
   if (look.fault) return faulty(from, *look.fault);
   if (!codec_->saidEnd(from)) return;
--- a/src/stream/relay.hpp
+++ b/src/stream/relay.hpp
@@ -23,6 +23,7 @@
 struct RelayParts {
   tcp::socket client, host;
   std::string fromClient, fromHost;  // read from them already
+  std::string greeting;              // of ours, to the client, ahead of all
   FlowLimits limits;
   std::unique_ptr<Codec> codec;  // null: the bytes are opaque
 };
@@ -56,7 +57,8 @@
     BufferBudget::Grant grant;
     // [begin, looked) is to be written, [looked, end) to be looked at first.
     std::size_t begin = 0, looked = 0, end = 0;
-    std::string own;  // of ours, at the next boundary; being written from `ownAt` on
+    bool hungry = false;  // what is to be looked at is the beginning of something; more has to come
+    std::string own;      // of ours, at the next boundary; being written from `ownAt` on
     std::size_t ownAt = 0;
     bool reading = false, writing = false;  // a wait is out
     bool ended = false;                     // its side sends no more
--- a/src/stream/settings.cpp
+++ b/src/stream/settings.cpp
@@ -37,7 +37,8 @@
 
 }  // namespace
 
-void readStreamSettings(SettingReader& root, StreamSettings& out) {
+void readStreamSettings(SettingReader& root, StreamSettings& out,
+                        const std::function<void(SettingReader&)>& more) {
   root.table("streams", [&](SettingReader& r) {
     r.boolean("enabled", out.enabled);
     r.number("descriptor_share", out.descriptorShare, 0.01, 0.9);
@@ -54,6 +55,7 @@
     if (out.bufferBytes < bufferLeast(out.most))
       r.error("buffer_bytes", "must be " + std::to_string(bufferLeast(out.most)) + " at least for " +
                                   std::to_string(out.most) + " streams");
+    if (more) more(r);
     r.tables("listen", kListenMost, [&](SettingReader& l) { readListen(l, out.listen.emplace_back()); });
     for (std::size_t i = 0; i < out.listen.size(); ++i)
       for (std::size_t k = 0; k < i; ++k)
--- a/src/stream/settings.hpp
+++ b/src/stream/settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,9 @@
   std::vector<ListenSettings> listen;
 };
 
-void readStreamSettings(SettingReader& root, StreamSettings& out);
+// `more` reads what others have in the same table.
+void readStreamSettings(SettingReader& root, StreamSettings& out,
+                        const std::function<void(SettingReader&)>& more = {});
 
 // How many streams there may be, each with two descriptors, and some over for listeners and those to come.
 std::size_t streamsOf(const StreamSettings& settings, std::size_t descriptors);
--- a/src/stream/table.cpp
+++ b/src/stream/table.cpp
@@ -10,8 +10,9 @@
 using ridgeshift::HostId;
 using ridgeshift::Phase;
 
-// Of the time that the gateway has for its own end, what is kept for the last streams to be closed.
-constexpr Duration kLastWords = std::chrono::milliseconds(500);
+// Of the time that the gateway has for its own end, what is kept for the last streams to be closed, and to
+// answer that; half of the time at the most.
+constexpr Duration kLastWords = std::chrono::milliseconds(2200);
 // A timer that is due sooner than this fires with the one before it.
 constexpr Duration kLookLeast = std::chrono::milliseconds(1);
 
@@ -99,7 +100,7 @@
 
 void StreamTable::onDrain(Time until) {
   const Time now = clock_.now();
-  const Time last = std::max(now, until - kLastWords);
+  const Time last = std::max(now, until - std::min(kLastWords, (until - now) / 2));
   draining_ = true;
   std::vector<StreamId> all;
   for (const auto& [id, held] : streams_) all.push_back(id);
--- a/src/stream/tcp_front.cpp
+++ b/src/stream/tcp_front.cpp
@@ -221,9 +221,13 @@
   comer->over = true;
   comers_.erase(comer->request);
   comer->client.cancel(error);
-  RelayParts parts{std::move(comer->client),      std::move(comer->host),
-                   std::move(comer->read),        {},
-                   comer->listener.settings.flow, nullptr};
+  RelayParts parts{std::move(comer->client),
+                   std::move(comer->host),
+                   std::move(comer->read),
+                   {},
+                   {},
+                   comer->listener.settings.flow,
+                   nullptr};
   table_.take(comer->begun, std::move(parts));
 }
 
--- a/src/websocket/codec.cpp
+++ b/src/websocket/codec.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 
-FrameRules rulesOf(const CodecRules& r, bool masked) { return {r.checked, masked, r.deflate, r.frameMost, r.messageMost}; }
+FrameRules rulesOf(const CodecRules& r, bool masked) {
+  return {r.checked, masked, r.deflate, r.frameMost, r.messageMost};
+}
 
 }  // namespace
 
@@ -43,8 +45,9 @@
   if (to == Side::client) return writeFrame(opcode, payload);
   const std::uint32_t key = draw_();
   return writeFrame(opcode, payload,
-                    std::array<unsigned char, 4>{static_cast<unsigned char>(key >> 24), static_cast<unsigned char>(key >> 16),
-                                                 static_cast<unsigned char>(key >> 8), static_cast<unsigned char>(key)});
+                    std::array<unsigned char, 4>{
+                        static_cast<unsigned char>(key >> 24), static_cast<unsigned char>(key >> 16),
+                        static_cast<unsigned char>(key >> 8), static_cast<unsigned char>(key)});
 }
 
 }  // namespace finchstile::websocket
--- a/src/websocket/codec.hpp
+++ b/src/websocket/codec.hpp
@@ -1,5 +1,5 @@
-// WebSocket on a stream: frames in both directions, its own words for the end, pings. No I/O; chance is passed
-// in.
+// WebSocket on a stream: frames in both directions, its own words for the end, pings. No I/O; chance is
+// passed in.
 #pragma once
 
 #include <cstdint>
--- a/src/websocket/frames.cpp
+++ b/src/websocket/frames.cpp
@@ -45,9 +45,9 @@
   return h;
 }
 
-const char* FrameReader::judge(const Header& h, CloseCode& code) const {
-  code = CloseCode::protocolError;
-  if (h.masked != rules_.masked) return rules_.masked ? "a client's frame without a mask" : "a server's frame with a mask";
+const char* FrameReader::judgeKind(const Header& h) const {
+  if (h.masked != rules_.masked)
+    return rules_.masked ? "a client's frame without a mask" : "a server's frame with a mask";
   const bool control = isControl(h.opcode);
   const bool first = h.opcode == kText || h.opcode == kBinary;
   // RFC 7692, 6: set on the first frame of a message only.
@@ -56,14 +56,20 @@
     return "an opcode that is none";
   if (control && !h.fin) return "a control frame in fragments";
   if (control && h.length > kControlMost) return "a control frame of more than 125 bytes";
-  if (!h.shortest) return "a length in more bytes than it needs";
-  if (h.length >> 63) return "a length of 2^63 or more";
-  if (control) return nullptr;
   if (h.opcode == kContinuation && !open_) return "a continuation of nothing";
   if (first && open_) return "a message within another";
+  return nullptr;
+}
+
+const char* FrameReader::judgeLength(const Header& h, CloseCode& code) const {
+  code = CloseCode::protocolError;
+  if (!h.shortest) return "a length in more bytes than it needs";
+  if (h.length >> 63) return "a length of 2^63 or more";
+  if (isControl(h.opcode)) return nullptr;
   code = CloseCode::tooBig;
   if (h.length > rules_.frameMost) return "a frame beyond the limit";
-  if (h.length > rules_.messageMost - (open_ ? message_ : 0)) return "a message beyond the limit";
+  if (h.length > rules_.messageMost - (h.opcode == kContinuation ? message_ : 0))
+    return "a message beyond the limit";
   return nullptr;
 }
 
@@ -132,28 +138,27 @@
     if (closed_) return s;
     const Header h = readHeader(at, here);
     CloseCode code{};
-    // What is wrong in the first two bytes is seen with them, however long the rest takes.
-    if (h.size == 0 && here < 2) return s;
-    if (rules_.checked && h.size > 0)
-      if (const char* why = judge(h, code)) return fault(code, why);
+    if (here < 2) return s;
+    if (rules_.checked)
+      if (const char* why = judgeKind(h)) return fault(CloseCode::protocolError, why);
     if (h.size == 0) return s;
-    ++frames_;
+    if (rules_.checked)
+      if (const char* why = judgeLength(h, code)) return fault(code, why);
     const bool control = isControl(h.opcode);
     if (control && h.length <= kControlMost) {
       const std::size_t whole = h.size + static_cast<std::size_t>(h.length);
-      if (here < whole) {
-        --frames_;
-        return s;  // in one piece or not at all
-      }
+      if (here < whole) return s;  // in one piece or not at all
       if (h.opcode == kClose) {
         if (rules_.checked)
           if (const char* why = judgeClose(h, at + h.size, code)) return fault(code, why);
         closed_ = true;
       }
+      ++frames_;
       s.pass += whole;
       if (stop || closed_) return s;
       continue;
     }
+    ++frames_;
     s.pass += h.size;
     left_ = h.length;
     isMasked_ = h.masked;
@@ -170,7 +175,8 @@
   return s;
 }
 
-std::string writeFrame(unsigned opcode, std::string_view payload, std::optional<std::array<unsigned char, 4>> key) {
+std::string writeFrame(unsigned opcode, std::string_view payload,
+                       std::optional<std::array<unsigned char, 4>> key) {
   std::string out;
   out += static_cast<char>(0x80 | opcode);
   const unsigned mask = key ? 0x80 : 0;
--- a/src/websocket/frames.hpp
+++ b/src/websocket/frames.hpp
@@ -24,9 +24,9 @@
 };
 
 struct FrameRules {
-  bool checked = true;        // else only the lengths are followed, whatever they belong to
-  bool masked = false;        // what a client sends is, what a server sends is not (5.1)
-  bool deflate = false;       // permessage-deflate was agreed on (RFC 7692): the first bit of three may be set
+  bool checked = true;   // else only the lengths are followed, whatever they belong to
+  bool masked = false;   // what a client sends is, what a server sends is not (5.1)
+  bool deflate = false;  // permessage-deflate was agreed on (RFC 7692): the first bit of three may be set
   std::uint64_t frameMost = 1 << 20, messageMost = 16 << 20;  // bytes of payload, as they are sent
 };
 
@@ -44,8 +44,8 @@
   // With `stop` it stops behind the frame that the bytes begin in or with.
   Step feed(const char* bytes, std::size_t n, bool stop);
 
-  bool atBoundary() const { return left_ == 0; }  // what has passed ends with a frame
-  bool closed() const { return closed_; }         // a Close has passed: no more may follow
+  bool atBoundary() const { return left_ == 0; }          // what has passed ends with a frame
+  bool closed() const { return closed_; }                 // a Close has passed: no more may follow
   std::uint16_t closeCode() const { return closeCode_; }  // of it; 0: it gave none
   std::uint64_t frames() const { return frames_; }
 
@@ -59,8 +59,9 @@
     std::array<unsigned char, 4> key{};
   };
   static Header readHeader(const char* bytes, std::size_t n);
-  // What is wrong with it, null if nothing is.
-  const char* judge(const Header& h, CloseCode& code) const;
+  // What is wrong with it, null if nothing is: with its first two bytes, and with all of it.
+  const char* judgeKind(const Header& h) const;
+  const char* judgeLength(const Header& h, CloseCode& code) const;
   const char* judgeClose(const Header& h, const char* payload, CloseCode& code);
   void beginData(const Header& h);
   // Text up to the first byte that is none; true if all is.
--- /dev/null
+++ b/src/websocket/front.cpp
@@ -0,0 +1,109 @@
+#include "websocket/front.hpp"
+
+#include <cstdio>
+#include <utility>
+
+namespace finchstile::websocket {
+namespace {
+
+namespace http = boost::beast::http;
+using stream::Ender;
+using stream::Ending;
+using stream::Why;
+
+constexpr const char* kName = "websocket";
+
+Ending endingOf(RequestEnd how) {
+  switch (how) {
+    case RequestEnd::refused:
+    case RequestEnd::rejected: return {Ender::gateway, Why::turnedAway, false};
+    case RequestEnd::left: return {Ender::client, Why::left, false};
+    default: return {Ender::host, Why::unreached, false};  // also by an answer that is no 101
+  }
+}
+
+std::string text(const tcp::endpoint& e) { return e.address().to_string() + ":" + std::to_string(e.port()); }
+
+}  // namespace
+
+WebSocketFront::WebSocketFront(const Clock& clock, const WebSocketSettings& settings, std::string gateway,
+                               std::function<std::uint32_t()> draw, stream::StreamTable& table)
+    : clock_(clock),
+      settings_(settings),
+      gateway_(std::move(gateway)),
+      draw_(std::move(draw)),
+      table_(table) {}
+
+bool WebSocketFront::asks(const ClientRequest& message) const { return asksForWebSocket(message); }
+
+std::optional<Answer> WebSocketFront::check(ClientRequest& message) {
+  const HandshakeVerdict v = checkRequest(message, settings_.rules);
+  if (v.status != 0) {
+    Answer a;
+    a.status = static_cast<http::status>(v.status);
+    a.body = std::string(v.why) + "\n";
+    a.contentType = "text/plain";
+    a.close = true;
+    if (v.status == 426) {  // RFC 6455, 4.4, and RFC 9110, 15.5.22
+      a.headers.push_back({"Upgrade", "websocket"});
+      a.headers.push_back({"Sec-WebSocket-Version", "13"});
+    }
+    return a;
+  }
+  // Browsers can't set headers of a handshake.
+  if (message.find("X-Correlation-Id") == message.end()) {
+    char id[64];
+    std::snprintf(id, sizeof id, "ws-%08x%08x-%llu", draw_(), draw_(),
+                  static_cast<unsigned long long>(++last_));
+    message.set("X-Correlation-Id", gateway_ + "-" + id);
+  }
+  if (message.find("X-Time-Left-Ms") == message.end())
+    message.set("X-Time-Left-Ms",
+                std::to_string(std::chrono::ceil<std::chrono::milliseconds>(settings_.handshake).count()));
+  return std::nullopt;
+}
+
+std::vector<HeaderLine> WebSocketFront::toHost(const ClientRequest& message) const {
+  return linesForHost(message, settings_.rules);
+}
+
+std::optional<Upgrades::Accepted> WebSocketFront::accepted(const ClientRequest& message,
+                                                           const http::fields& answer) const {
+  AcceptVerdict v = checkAccept(message, answer, settings_.rules);
+  if (!v.good) {
+    std::fprintf(stderr, "websocket: a host's 101 is turned down: %s\n", v.why);
+    return std::nullopt;
+  }
+  return Accepted{std::move(v.toClient), v.deflate};
+}
+
+void WebSocketFront::onAsked() { table_.account().onTaken(kName); }
+
+void WebSocketFront::onNotBegun(const UpgradeAsked& asked, RequestEnd how) {
+  stream::Begun b;
+  b.name = kName;
+  b.from = text(asked.from);
+  b.since = asked.since;
+  table_.ended(b, endingOf(how));
+}
+
+void WebSocketFront::take(Upgraded&& u) {
+  CodecRules rules;
+  rules.checked = settings_.inspect;
+  rules.deflate = u.agreed;
+  rules.frameMost = settings_.frameMost;
+  rules.messageMost = settings_.messageMost;
+  rules.pingAfter = settings_.pingAfter;
+  rules.pingAnswer = settings_.pingAnswer;
+  stream::RelayParts parts{std::move(u.client),
+                           std::move(u.upstream),
+                           std::move(u.fromClient),
+                           std::move(u.fromHost),
+                           std::move(u.head),
+                           settings_.flow,
+                           std::make_unique<WebSocketCodec>(rules, draw_)};
+  table_.take({u.request, u.attempt, u.host, kName, std::move(u.hostName), text(u.asked.from), u.asked.since},
+              std::move(parts));
+}
+
+}  // namespace finchstile::websocket
--- a/src/websocket/handshake.cpp
+++ b/src/websocket/handshake.cpp
@@ -129,7 +129,8 @@
   if (countOf(head, http::field::sec_websocket_version) != 1 ||
       head[http::field::sec_websocket_version] != "13")
     return {426, "not version 13"};
-  if (countOf(head, http::field::sec_websocket_key) != 1 || !isKey(plain(head[http::field::sec_websocket_key])))
+  if (countOf(head, http::field::sec_websocket_key) != 1 ||
+      !isKey(plain(head[http::field::sec_websocket_key])))
     return {400, "not one key of sixteen bytes"};
   if (head.count(http::field::sec_websocket_accept) > 0) return {400, "an answer's header in a request"};
   const auto offered = tokens(joined(head, http::field::sec_websocket_protocol));
@@ -141,20 +142,26 @@
       return {400, "a subprotocol twice"};
   if (!rules.origins.empty()) {
     if (countOf(head, http::field::origin) != 1) return {403, "not one Origin"};
-    if (!wanted(rules.origins, std::string(plain(head[http::field::origin])))) return {403, "an Origin that may not ask"};
+    if (!wanted(rules.origins, std::string(plain(head[http::field::origin]))))
+      return {403, "an Origin that may not ask"};
   }
   return {};
 }
 
 std::vector<HeaderLine> linesForHost(const RequestHead& head, const HandshakeRules& rules) {
-  std::vector<HeaderLine> out{{"Connection", "Upgrade"},
-                              {"Upgrade", "websocket"},
-                              {"Sec-WebSocket-Version", "13"},
-                              {"Sec-WebSocket-Key", std::string(plain(head[http::field::sec_websocket_key]))}};
-  if (std::string p = protocolsFor(head, rules); !p.empty()) out.push_back({"Sec-WebSocket-Protocol", std::move(p)});
-  if (std::string e = extensionsFor(head, rules); !e.empty()) out.push_back({"Sec-WebSocket-Extensions", std::move(e)});
-  if (const auto origin = head[http::field::origin]; !origin.empty()) out.push_back({"Origin", std::string(plain(origin))});
-  if (const auto cookie = head[http::field::cookie]; !cookie.empty()) out.push_back({"Cookie", std::string(plain(cookie))});
+  std::vector<HeaderLine> out{
+      {"Connection", "Upgrade"},
+      {"Upgrade", "websocket"},
+      {"Sec-WebSocket-Version", "13"},
+      {"Sec-WebSocket-Key", std::string(plain(head[http::field::sec_websocket_key]))}};
+  if (std::string p = protocolsFor(head, rules); !p.empty())
+    out.push_back({"Sec-WebSocket-Protocol", std::move(p)});
+  if (std::string e = extensionsFor(head, rules); !e.empty())
+    out.push_back({"Sec-WebSocket-Extensions", std::move(e)});
+  if (const auto origin = head[http::field::origin]; !origin.empty())
+    out.push_back({"Origin", std::string(plain(origin))});
+  if (const auto cookie = head[http::field::cookie]; !cookie.empty())
+    out.push_back({"Cookie", std::string(plain(cookie))});
   return out;
 }
 
--- a/src/websocket/handshake.hpp
+++ b/src/websocket/handshake.hpp
@@ -1,5 +1,5 @@
-// The opening handshake of RFC 6455, sections 4.1 and 4.2, as a gateway between both sides has to hold it: what
-// a client may ask, what goes on to the host, what its answer has to be. No I/O.
+// The opening handshake of RFC 6455, sections 4.1 and 4.2, as a gateway between both sides has to hold it:
+// what a client may ask, what goes on to the host, what its answer has to be. No I/O.
 #pragma once
 
 #include <boost/beast/http/fields.hpp>
--- /dev/null
+++ b/src/websocket/settings.hpp
@@ -0,0 +1,26 @@
+// The part of the operator's file that is about WebSocket: [streams.websocket].
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "operator/reader.hpp"
+#include "stream/flow.hpp"
+#include "websocket/codec.hpp"
+#include "websocket/handshake.hpp"
+
+namespace finchstile::websocket {
+
+struct WebSocketSettings {
+  bool enabled = false;
+  bool inspect = true;  // else bytes are passed on by the lengths of their frames, unchecked
+  Duration handshake = std::chrono::seconds(2);  // from the request to the host's 101, over all attempts
+  stream::FlowLimits flow{std::chrono::hours(1), std::chrono::minutes(1), std::chrono::seconds(30)};
+  Duration pingAfter = std::chrono::seconds(30), pingAnswer = std::chrono::seconds(10);
+  std::size_t frameMost = 1 << 20, messageMost = 16 << 20;
+  HandshakeRules rules;
+};
+
+void readWebSocketSettings(SettingReader& streams, WebSocketSettings& out);
+
+}  // namespace finchstile::websocket
--- /dev/null
+++ b/tests/fuzz/websocket_handshake.cpp
@@ -0,0 +1,32 @@
+// Any bytes as the heads of a handshake and of its answer.
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <cstdlib>
+
+#include "fuzz/target.hpp"
+#include "websocket/handshake.hpp"
+
+using namespace finchstile::websocket;
+namespace http = boost::beast::http;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view bytes = asText(data, size);
+  boost::system::error_code error;
+  http::request_parser<http::empty_body> request;
+  request.put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  if (!request.is_header_done()) return 0;
+  const RequestHead& head = request.get().base();
+  HandshakeRules rules;
+  asksForWebSocket(head);
+  if (checkRequest(head, rules).status != 0) return 0;
+  Fields answer;
+  answer.set("Connection", "Upgrade");
+  answer.set("Upgrade", "websocket");
+  answer.set("Sec-WebSocket-Accept",
+             acceptOf({head["Sec-WebSocket-Key"].data(), head["Sec-WebSocket-Key"].size()}));
+  if (!checkAccept(head, answer, rules).good) std::abort();
+  // Whatever else stands there: what the host may choose is what goes on to it.
+  for (const auto& line : linesForHost(head, rules))
+    if (line.value.empty() || line.value.find_first_of("\r\n") != std::string::npos) std::abort();
+  return 0;
+}
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -783,6 +783,7 @@
   void onAnswerBegun(AttemptId, UpstreamAnswer&&, std::optional<std::uint64_t>) override {}
   void onAnswerPiece(AttemptId, std::string&&, bool) override {}
   void onAnswerCut(AttemptId) override {}
+  void onUpgraded(AttemptId, tcp::socket&&, std::string&&, const http::fields&) override {}
   void onOutcome(AttemptId id, ridgeshift::Outcome outcome, UpstreamAnswer&&) override {
     outcomes.emplace_back(id, outcome);
   }
--- a/tests/support/wires.hpp
+++ b/tests/support/wires.hpp
@@ -34,7 +34,8 @@
                              if (error) return;
                              count += n;
                              if (keep) got.append(buffer_, n);
-                             if (onBytes) onBytes(*this);
+                             if (const auto on = onBytes)
+                               on(*this);  // a copy: it may put another in its place
                              read();
                            });
   }
--- /dev/null
+++ b/tests/websocket/front_test.cpp
@@ -0,0 +1,553 @@
+// WebSocket through a gateway on loopback: the handshake as a request of it, frames, closes, drains, storms.
+#include "websocket/front.hpp"
+
+#include <charconv>
+
+#include "stream/tcp_front.hpp"
+#include "support/gateway_fixture.hpp"
+#include "support/wires.hpp"
+#include "websocket/conformance.hpp"
+
+namespace finchstile::websocket {
+namespace {
+
+using namespace finchstile::testing;
+using namespace finchstile::stream;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::bytesOf;
+using testing::code;
+using Steady = std::chrono::steady_clock;
+
+const std::string kClientKey = "dGhlIHNhbXBsZSBub25jZQ==";
+
+// What a worker answers to a handshake; `then` goes out with it in one write.
+std::string accepted(const std::string& head, const std::string& then = "") {
+  const std::string name = "Sec-WebSocket-Key: ";
+  const std::size_t at = head.find(name);
+  const std::string key = at == std::string::npos ? "" : head.substr(at + name.size(), 24);
+  return "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: "
+         "Upgrade\r\nSec-WebSocket-Accept: " +
+         acceptOf(key) + "\r\n\r\n" + then;
+}
+
+struct WebSocketTest : GatewayTest {
+  std::vector<std::unique_ptr<WireServer>> workers;
+  std::vector<std::string> heads;  // of handshakes, as workers had them
+  std::unique_ptr<StreamTable> table;
+  std::unique_ptr<TcpFront> tcp;
+  std::unique_ptr<WebSocketFront> front;
+  StreamSettings streams;
+  WebSocketSettings settings;
+  std::vector<std::string> lines;
+  int listIndex = 1;
+
+  WebSocketTest() {
+    streams.enabled = true;
+    streams.descriptorShare = 0.5;
+  }
+  ~WebSocketTest() override { gateway.reset(); }
+
+  // `answer` gives what a worker writes to a handshake; what comes after it stays in `got`.
+  WireServer& worker(std::function<std::string(const std::string& head)> answer =
+                         [](const std::string& head) { return accepted(head); }) {
+    return *workers.emplace_back(std::make_unique<WireServer>(io, [this, answer](const auto& w) {
+      w->onBytes = [this, answer](Wire& wire) {
+        const std::size_t end = wire.got.find("\r\n\r\n");
+        if (end == std::string::npos) return;
+        wire.onBytes = {};
+        heads.push_back(wire.got.substr(0, end + 2));
+        wire.got.erase(0, end + 4);
+        wire.write(answer(heads.back()));
+      };
+    }));
+  }
+  json entry(std::size_t i, const std::string& status = "active") const {
+    return hostJson("w-" + std::to_string(i), workers[i]->endpoint(), status);
+  }
+  void begin(const std::function<void(json&)>& change = [](json&) {}) {
+    json list = json::array();
+    for (std::size_t i = 0; i < workers.size(); ++i) list.push_back(entry(i));
+    json config = configJson(discovery.endpoint(), list);
+    config["limits"]["sockets"] = 1024;
+    change(config);
+    Config read = readConfig(config.dump(), clock);
+    read.tuning.otherShare = streams.descriptorShare;
+    read.settings.mostStreams = static_cast<std::uint32_t>(streamsOf(streams, read.sockets));
+    read.settings.streamRate = streams.hostRate;
+    read.settings.streamReturn = streams.returnWithin;
+    gateway = std::make_unique<Gateway>(io, clock, read);
+    table =
+        std::make_unique<StreamTable>(io, clock, streams, read.settings.mostStreams, 5, gateway->frontHost(),
+                                      [this](std::string_view line) { lines.emplace_back(line); });
+    tcp = std::make_unique<TcpFront>(io, clock, streams, read.settings, gateway->frontHost(), *table);
+    front = std::make_unique<WebSocketFront>(
+        clock, settings, "n0", [] { return 0x37fa213du; }, *table);
+    gateway->attach(*tcp);
+    gateway->setUpgrades(*front);
+    gateway->start();
+    ASSERT_TRUE(until([&] { return !calls.empty(); }));
+  }
+  void tell(const json& list) {
+    const auto call = calls.back();
+    calls.clear();
+    call->reply(200, listJson(++listIndex, false, list).dump());
+    ASSERT_TRUE(until([&] { return !calls.empty(); }));
+  }
+  static std::string ask(const std::string& more = "", const std::string& path = "/read/live") {
+    return "GET " + path +
+           " HTTP/1.1\r\nHost: api\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"
+           "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: " +
+           kClientKey + "\r\n" + more + "\r\n";
+  }
+  std::shared_ptr<Wire> wire() { return Wire::connect(io, gateway->endpoint()); }
+  // A stream that has begun; its head is taken off.
+  std::shared_ptr<Wire> open() {
+    const auto c = wire();
+    c->write(ask());
+    EXPECT_TRUE(until([&] { return c->got.find("\r\n\r\n") != std::string::npos || c->over(); }));
+    EXPECT_EQ(statusOf(*c), 101);
+    c->got.erase(0, c->got.find("\r\n\r\n") + 4);
+    return c;
+  }
+  static int statusOf(const Wire& w) {
+    int status = 0;
+    if (w.got.size() > 12) std::from_chars(w.got.data() + 9, w.got.data() + 12, status);
+    return status;
+  }
+  bool got(const std::shared_ptr<Wire>& w, const std::string& bytes) {
+    return until([&] { return w->got.size() >= bytes.size() || w->over(); }) && w->got == bytes;
+  }
+  const std::shared_ptr<Wire>& last(std::size_t worker = 0) { return workers[worker]->wires.back(); }
+  bool hasLine(const std::string& part) const {
+    return std::any_of(lines.begin(), lines.end(),
+                       [&](const std::string& l) { return l.find(part) != std::string::npos; });
+  }
+  std::size_t count(Became b) const { return table->account().ended(b); }
+};
+
+std::string closed(bool client, unsigned number, const std::string& reason) {
+  return bytesOf(client, {8, code(number, reason)});
+}
+
+TEST_F(WebSocketTest, FramesPassUnchangedAndTheEndInOrder) {
+  worker();
+  begin();
+  const auto c = open();
+  ASSERT_EQ(heads.size(), 1u);
+  EXPECT_NE(heads[0].find("GET /read/live HTTP/1.1\r\n"), std::string::npos);
+  EXPECT_NE(heads[0].find("X-Correlation-Id: n0-ws-"), std::string::npos);  // browsers can't send one
+  EXPECT_NE(heads[0].find("X-Time-Left-Ms: "), std::string::npos);
+  const std::string up = bytesOf(true, {1, "hello"}) + bytesOf(true, {2, std::string(70'000, 'u')});
+  const std::string down =
+      bytesOf(false, {1, "he", false}) + bytesOf(false, {9, "p"}) + bytesOf(false, {0, "llo"});
+  c->write(up);
+  last()->write(down);
+  EXPECT_TRUE(got(last(), up));
+  EXPECT_TRUE(got(c, down));
+  EXPECT_EQ(table->size(), 1u);
+  c->got.clear(), last()->got.clear();
+  c->write(closed(true, 1000, "bye"));
+  EXPECT_TRUE(got(last(), closed(true, 1000, "bye")));
+  last()->write(closed(false, 1000, ""));
+  last()->finish();
+  EXPECT_TRUE(got(c, closed(false, 1000, "")));
+  ASSERT_TRUE(until([&] { return c->ended; }));
+  c->finish();
+  ASSERT_TRUE(until([&] { return table->idle(); }));
+  EXPECT_EQ(count(Became::served), 1u);
+  EXPECT_TRUE(hasLine("stream websocket served by=client why=finished"));
+  EXPECT_EQ(gateway->figures().classes[0].answered, 1u);
+}
+
+// Hard case: bytes of frames in the same read as the handshake, from either side.
+TEST_F(WebSocketTest, FramesThatComeWithTheHandshakeAreNotLost) {
+  const std::string early = bytesOf(false, {1, "first"}), ahead = bytesOf(true, {1, "ahead"});
+  worker([&](const std::string& head) { return accepted(head, early + early.substr(0, 3)); });
+  begin();
+  const auto c = wire();
+  c->write(ask() + ahead + ahead.substr(0, 1));
+  ASSERT_TRUE(until([&] { return c->got.size() > early.size() && c->got.find(early) != std::string::npos; }));
+  EXPECT_EQ(statusOf(*c), 101);
+  EXPECT_NE(c->got.find("Sec-WebSocket-Accept: " + acceptOf(kClientKey) + "\r\n"), std::string::npos);
+  c->write(ahead.substr(1));
+  last()->write(early.substr(3));
+  ASSERT_TRUE(until([&] { return last()->got.size() >= 2 * ahead.size(); }));
+  EXPECT_EQ(last()->got, ahead + ahead);
+  ASSERT_TRUE(until([&] { return c->got.find(early + early) != std::string::npos; }));
+}
+
+// Hard case: a client that sends its handshake one byte at a time, and its frames.
+TEST_F(WebSocketTest, OneByteAtATime) {
+  worker();
+  begin();
+  const auto c = wire();
+  const std::string bytes = ask() + bytesOf(true, {1, "slow"});
+  for (const char one : bytes) {
+    c->write(std::string(1, one));
+    for (int i = 0; i < 3; ++i) io.restart(), io.poll();
+  }
+  EXPECT_TRUE(until([&] { return heads.size() == 1 && last()->got == bytesOf(true, {1, "slow"}); }));
+}
+
+TEST_F(WebSocketTest, WhatMayNotBeAskedIsAnsweredWithoutAHost) {
+  settings.rules.origins = {"https://yard"};
+  worker();
+  begin();
+  const auto status = [&](std::string request) {
+    const auto c = wire();
+    c->write(request);
+    EXPECT_TRUE(until([&] { return c->ended; }));
+    if (statusOf(*c) == 426) EXPECT_NE(c->got.find("Sec-WebSocket-Version: 13\r\n"), std::string::npos);
+    return statusOf(*c);
+  };
+  std::string old = ask("Origin: https://yard\r\n");
+  old.replace(old.find("Version: 13"), 11, "Version: 8");
+  EXPECT_EQ(status(ask()), 403);
+  EXPECT_EQ(status(ask("Origin: https://elsewhere\r\n")), 403);
+  EXPECT_EQ(status(old), 426);
+  EXPECT_EQ(status(ask("Origin: https://yard\r\nContent-Length: 3\r\n") + "abc"), 400);
+  EXPECT_EQ(status(ask("Origin: https://yard\r\n", "/nothing")), 404);
+  EXPECT_EQ(status(ask("Origin: https://yard\r\n", "/book/1")), 405);  // a class that may not run twice
+  EXPECT_TRUE(heads.empty());
+}
+
+// Hard case: a 101 with a wrong accept value. It is no answer to this request, and another host is asked.
+TEST_F(WebSocketTest, AWrongAcceptIsNoAnswer) {
+  worker([](const std::string&) {
+    return "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+           "Sec-WebSocket-Accept: AAAAAAAAAAAAAAAAAAAAAAAAAAA=\r\n\r\n";
+  });
+  worker();
+  begin();
+  for (int i = 0; i < 6; ++i) {
+    const auto c = open();
+    EXPECT_EQ(workers[1]->wires.size(), static_cast<std::size_t>(i + 1));
+  }
+  EXPECT_GT(workers[0]->wires.size(), 0u);
+  EXPECT_EQ(table->size(), 6u);
+}
+
+TEST_F(WebSocketTest, WhereAllAnswerWronglyItIsRefused) {
+  worker([](const std::string&) {
+    return "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n";
+  });
+  begin();
+  const auto c = wire();
+  c->write(ask());
+  ASSERT_TRUE(until([&] { return c->got.find("\r\n\r\n") != std::string::npos; }));
+  EXPECT_EQ(statusOf(*c), 503);
+  EXPECT_NE(c->got.find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(count(Became::refused), 1u);
+}
+
+TEST_F(WebSocketTest, A4xxOfTheWorkerIsPassedOnAndA5xxIsNot) {
+  worker([](const std::string&) { return "HTTP/1.1 403 X\r\nContent-Length: 0\r\n\r\n"; });
+  begin();
+  const auto c = wire();
+  c->write(ask());
+  ASSERT_TRUE(until([&] { return statusOf(*c) != 0; }));
+  EXPECT_EQ(statusOf(*c), 403);
+  EXPECT_EQ(count(Became::failed), 1u);
+  worker();
+  json list = json::array({entry(0, "leaving"), entry(1)});
+  tell(list);
+  workers[1]->onWire = [](const auto& w) {
+    w->onBytes = [](Wire& x) { x.write("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"); };
+  };
+  const auto d = wire();
+  d->write(ask());
+  ASSERT_TRUE(until([&] { return statusOf(*d) != 0; }));
+  EXPECT_EQ(statusOf(*d), 503);
+}
+
+// A 101 that nobody asked for is the end of that connection, and no answer.
+TEST_F(WebSocketTest, A101ToAPlainRequestIsNoAnswer) {
+  worker([](const std::string& head) { return accepted(head); });
+  begin();
+  const auto c = client();
+  c->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_NE(c->answers[0].result_int(), 101u);
+  EXPECT_NE(c->answers[0].result_int(), 200u);
+}
+
+// Hard case: a worker that answers 101 and then garbage. Both are told; no garbage passes.
+TEST_F(WebSocketTest, GarbageBehindThe101IsTurnedDown) {
+  worker([](const std::string& head) { return accepted(head, "\xff\xff garbage"); });
+  begin();
+  const auto c = wire();
+  c->write(ask());
+  ASSERT_TRUE(until([&] { return c->ended || c->reset; }));
+  const std::string frames = c->got.substr(c->got.find("\r\n\r\n") + 4);
+  EXPECT_EQ(frames, closed(false, 1014, "protocol"));
+  EXPECT_TRUE(hasLine("failed by=host why=protocol"));
+  ASSERT_TRUE(until([&] { return last()->over(); }));
+  EXPECT_EQ(last()->got.substr(0, 2), std::string("\x88\x8a", 2));  // a masked close of ten bytes
+}
+
+TEST_F(WebSocketTest, AClientThatBreaksTheRulesIsToldAndSoIsItsHost) {
+  worker();
+  begin();
+  const auto c = open();
+  c->write(bytesOf(true, {1, "fine"}) + bytesOf(true, {1, "\xff"}));
+  ASSERT_TRUE(until([&] { return c->got.size() > 0; }));
+  EXPECT_EQ(c->got, closed(false, 1007, "protocol"));
+  EXPECT_TRUE(until([&] { return table->idle(); }));
+  EXPECT_TRUE(hasLine("failed by=client why=protocol"));
+
+  const auto d = open();
+  d->write(bytesOf(true, {1, "fine"}) + bytesOf(true, {5, "x"}));
+  ASSERT_TRUE(got(d, closed(false, 1002, "protocol")));
+  // The host had whole frames only, and then its own word.
+  ASSERT_TRUE(until([&] { return last()->got.size() >= bytesOf(true, {1, "fine"}).size() + 16; }));
+  EXPECT_EQ(last()->got, bytesOf(true, {1, "fine"}) + closed(true, 1001, "protocol"));
+}
+
+// Hard case: a frame of 2^63 bytes.
+TEST_F(WebSocketTest, AFrameBeyondAllLimits) {
+  worker();
+  begin();
+  const auto c = open();
+  c->write(bytesOf(true, {2, "", true, 0, {}, 8, std::uint64_t{1} << 63}));
+  EXPECT_TRUE(got(c, closed(false, 1002, "protocol")));
+  const auto d = open();
+  d->write(bytesOf(true, {2, "", true, 0, {}, 8, (std::uint64_t{1} << 63) - 1}));
+  EXPECT_TRUE(got(d, closed(false, 1009, "too_big")));
+  EXPECT_TRUE(last()->got.empty() || last()->got[0] == '\x88');
+}
+
+// Hard case: a worker dies mid-frame. Words of ours would be read as part of the frame: a reset it is.
+TEST_F(WebSocketTest, AWorkerThatDiesMidFrameIsAReset) {
+  worker();
+  begin();
+  const auto c = open();
+  last()->write(bytesOf(false, {1, std::string(100, 'x')}).substr(0, 50));
+  ASSERT_TRUE(until([&] { return c->got.size() == 50; }));
+  last()->abort();
+  ASSERT_TRUE(until([&] { return c->over(); }));
+  EXPECT_TRUE(c->reset);
+  EXPECT_EQ(c->got.size(), 50u);
+  EXPECT_TRUE(hasLine("failed by=host why=reset"));
+}
+
+TEST_F(WebSocketTest, AWorkerThatDiesBetweenFramesIsACloseWithItsCode) {
+  worker();
+  begin();
+  for (const bool abort : {true, false}) {
+    const auto c = open();
+    if (abort) last()->abort();
+    else last()->close();
+    ASSERT_TRUE(got(c, closed(false, 1014, "reset"))) << abort;
+    c->write(closed(true, 1014, ""));
+    ASSERT_TRUE(until([&] { return c->over() && table->idle(); }));
+  }
+  EXPECT_EQ(table->account().ended(Ender::host, Why::reset), 2u);
+}
+
+TEST_F(WebSocketTest, AClientThatIsGoneIsTold) {
+  worker();
+  begin();
+  const auto c = open();
+  c->abort();
+  ASSERT_TRUE(got(last(), closed(true, 1001, "reset")));
+  ASSERT_TRUE(until([&] { return table->idle(); }));
+  EXPECT_TRUE(hasLine("failed by=client why=reset"));
+}
+
+// Close frames that cross: both pass, and it ends once.
+TEST_F(WebSocketTest, ClosesFromBothSidesAtOnce) {
+  worker();
+  begin();
+  const auto c = open();
+  c->write(closed(true, 1000, ""));
+  last()->write(closed(false, 1001, ""));
+  EXPECT_TRUE(got(c, closed(false, 1001, "")));
+  EXPECT_TRUE(got(last(), closed(true, 1000, "")));
+  last()->finish(), c->finish();
+  ASSERT_TRUE(until([&] { return table->idle(); }));
+  EXPECT_EQ(count(Became::served), 1u);
+  EXPECT_EQ(lines.size(), 1u);
+}
+
+// Both have said that they end, and neither closes its connection: the gateway does.
+TEST_F(WebSocketTest, AfterBothClosesTheConnectionsAreNotKept) {
+  worker();
+  begin();
+  const auto c = open();
+  c->write(closed(true, 1000, ""));
+  ASSERT_TRUE(got(last(), closed(true, 1000, "")));
+  last()->write(closed(false, 1000, ""));
+  ASSERT_TRUE(until([&] { return c->ended && last()->ended && table->idle(); }));
+  EXPECT_EQ(count(Became::served), 1u);
+}
+
+// --- Drains
+
+TEST_F(WebSocketTest, ADrainingWorkersStreamsEndWith1001) {
+  streams.drainWithin = milliseconds(200);
+  worker(), worker();
+  begin();
+  std::vector<std::shared_ptr<Wire>> clients;
+  for (int i = 0; i < 20; ++i) clients.push_back(open());
+  const std::size_t there = workers[0]->wires.size();
+  ASSERT_GT(there, 4u);
+  tell(json::array({entry(0, "leaving")}));
+  const std::string bye = closed(false, 1001, "drain");
+  ASSERT_TRUE(until([&] {
+    std::size_t told = 0;
+    for (const auto& c : clients) {
+      if (c->got == bye && !c->over()) c->got += ' ', c->write(closed(true, 1001, ""));
+      told += c->got.substr(0, bye.size()) == bye;
+    }
+    return told == there && workers[0]->open() == 0;
+  }));
+  for (const auto& w : workers[0]->wires) EXPECT_EQ(w->got, closed(true, 1001, "drain"));
+  EXPECT_EQ(count(Became::served), there);
+  EXPECT_EQ(table->size(), 20 - there);
+  EXPECT_TRUE(hasLine("served by=gateway why=drain"));
+}
+
+// In the midst of a frame the close waits for its end.
+TEST_F(WebSocketTest, ADrainDoesNotCutAFrame) {
+  streams.drainWithin = milliseconds(0);
+  worker();
+  begin();
+  const auto c = open();
+  const std::string frame = bytesOf(false, {1, std::string(1000, 'x')}), next = bytesOf(false, {1, "next"});
+  last()->write(frame.substr(0, 500));
+  ASSERT_TRUE(until([&] { return c->got.size() == 500; }));
+  tell(json::array({entry(0, "leaving")}));
+  ASSERT_TRUE(until([&] { return last()->got == closed(true, 1001, "drain"); }));  // that way is free
+  EXPECT_EQ(c->got.size(), 500u);
+  last()->write(frame.substr(500) + next);
+  EXPECT_TRUE(got(c, frame + closed(false, 1001, "drain")));
+}
+
+TEST_F(WebSocketTest, ADrainedGatewayTellsAllOfThem) {
+  worker();
+  streams.drainWithin = milliseconds(300);
+  begin();
+  std::vector<std::shared_ptr<Wire>> clients;
+  for (int i = 0; i < 20; ++i) clients.push_back(open());
+  bool done = false;
+  gateway->drain([&] { done = true; });
+  ASSERT_TRUE(until([&] { return done; }));
+  for (const auto& c : clients) {
+    ASSERT_TRUE(until([&] { return c->over(); }));
+    EXPECT_EQ(c->got, closed(false, 1001, "drain"));
+  }
+  EXPECT_TRUE(table->idle());
+}
+
+// --- Silence
+
+TEST_F(WebSocketTest, ASilentSideIsAskedAndFound) {
+  settings.pingAfter = milliseconds(200);
+  settings.pingAnswer = milliseconds(200);
+  worker();
+  begin();
+  const auto c = open();
+  const std::string ping = bytesOf(false, {9, ""});
+  // The client answers its pings; the worker says nothing.
+  ASSERT_TRUE(until([&] {
+    if (c->got == ping) c->got.clear(), c->write(bytesOf(true, {10, ""}));
+    return table->account().ended(Ender::host, Why::silent) == 1 || c->over();
+  }));
+  EXPECT_EQ(c->got.substr(0, 2), closed(false, 1014, "silent").substr(0, 2));
+  EXPECT_NE(last()->got.find(bytesOf(true, {9, ""})), std::string::npos);
+  EXPECT_TRUE(hasLine("failed by=host why=silent"));
+}
+
+TEST_F(WebSocketTest, OneThatAnswersItsPingsIsKept) {
+  settings.pingAfter = milliseconds(100);
+  settings.pingAnswer = milliseconds(2000);
+  worker();
+  begin();
+  const auto c = open();
+  std::size_t pings = 0;
+  const auto end = Steady::now() + milliseconds(1500);
+  ASSERT_TRUE(until([&] {
+    for (; c->got.size() >= 2; c->got.erase(0, 2))  // the gateway's pings, and pongs of the worker
+      if (c->got[0] == '\x89') ++pings, c->write(bytesOf(true, {10, ""}));
+    // What comes at the worker is the client's pongs and the gateway's pings.
+    if (last()->got.find(bytesOf(true, {9, ""})) != std::string::npos)
+      last()->got.clear(), last()->write(bytesOf(false, {10, ""}));
+    return Steady::now() >= end;
+  }));
+  EXPECT_FALSE(c->over());
+  EXPECT_GE(pings, 3u);
+}
+
+// --- Storms
+
+// Upgrades beyond the rate are refused, each with a time of its own to come back; requests are served.
+TEST_F(WebSocketTest, AStormOfReconnectsIsRefusedWithTimesToComeBack) {
+  streams.hostRate = 20;
+  streams.returnWithin = seconds(10);
+  worker([](const std::string& head) {
+    return head.find("Upgrade") == std::string::npos
+               ? std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+               : accepted(head);
+  });
+  begin();
+  std::vector<std::shared_ptr<Wire>> clients;
+  for (int i = 0; i < 200; ++i) {
+    clients.push_back(wire());
+    clients.back()->write(ask());
+  }
+  ASSERT_TRUE(until([&] {
+    return std::all_of(clients.begin(), clients.end(), [](const auto& c) { return statusOf(*c) != 0; });
+  }));
+  std::size_t begun = 0;
+  double least = 100, most = 0;
+  for (const auto& c : clients) {
+    if (statusOf(*c) == 101) {
+      ++begun;
+      continue;
+    }
+    EXPECT_EQ(statusOf(*c), 503);
+    const std::size_t at = c->got.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos);
+    const double after = std::strtod(c->got.c_str() + at + 13, nullptr);
+    least = std::min(least, after);
+    most = std::max(most, after);
+  }
+  EXPECT_GE(begun, 1u);
+  EXPECT_LE(begun, 60u);
+  EXPECT_EQ(table->size(), begun);
+  EXPECT_LT(least, 3);
+  EXPECT_GT(most, 7);
+  const auto c = client();
+  c->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+}
+
+// Without inspection the bytes go by their lengths, and the end is said all the same.
+TEST_F(WebSocketTest, UncheckedFramesPassAndADrainIsStillSaid) {
+  settings.inspect = false;
+  streams.drainWithin = milliseconds(0);
+  worker();
+  begin();
+  const auto c = open();
+  const std::string odd = bytesOf(true, {5, "\xff", false, 7});
+  c->write(odd);
+  EXPECT_TRUE(got(last(), odd));
+  tell(json::array({entry(0, "leaving")}));
+  EXPECT_TRUE(got(c, closed(false, 1001, "drain")));
+}
+
+// Switched off, it is a request like any other, as before.
+using PlainTest = GatewayTest;
+TEST_F(PlainTest, WithoutTheFrontAnUpgradeIsAPlainRequest) {
+  host(serveOk);
+  start();
+  const auto c = client();
+  c->ask("GET", "/read", 2500, "", "Connection: Upgrade\r\nUpgrade: websocket\r\n");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+}
+
+}  // namespace
+}  // namespace finchstile::websocket
