--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -102,9 +102,11 @@
 constexpr Duration kDeafFor = seconds(3);  // a keeper that did not answer is passed over for so long
 
 constexpr Duration kStreamBurst = milliseconds(250);  // of a host's rate of streams that may come at once
-// In the draw, for one stream fewer or more than the mean: enough to even out what chance does, too little
-// for one empty host to be sent all that comes.
+// In the draw, at the least and the most, for a host with more or fewer streams than the mean: enough to even
+// out what chance does, too little for one empty host to be sent all that comes;
 constexpr double kStreamLeast = 0.25, kStreamMost = 4;
+// and where a rate guards it, as much as that lets through: a host that came last would stay behind.
+constexpr double kGuardedLeast = 0.02, kGuardedMost = 16;
 
 }  // namespace
 
@@ -525,7 +527,7 @@
     for (std::size_t i = 0; i < listed.size() && ready.size() < kDrawn; ++i) {
       const HostId id = listed[(from + i) % listed.size()];
       if (home && !hosts[id].local) continue;
-      if ((relaxed ? allowed(r, hosts[id]) : usable(r, id)) && coldMayTake(hosts[id])) ready.push_back(id);
+      if ((relaxed ? allowed(r, hosts[id]) : usable(r, id)) && mayTake(r, hosts[id])) ready.push_back(id);
     }
   }
 
@@ -543,6 +545,13 @@
     return h.streamTokens >= 1;
   }
 
+  // Danger: what a cold host may take is measured by requests; where streams are all that there is, it would
+  // be given next to none. Where they have a rate of their own, its part of that holds.
+  bool mayTake(const Open& r, Host& h) {
+    if (!r.stream) return coldMayTake(h);
+    return (set.streamRate > 0 || coldMayTake(h)) && streamMayGo(h);
+  }
+
   // Danger: to the host with the fewest all would go at once after a deploy. All draw, those with fewer the
   // oftener.
   HostId pickStream(const Open& r) {
@@ -552,12 +561,14 @@
     ready.erase(
         std::remove_if(ready.begin(), ready.end(), [&](HostId id) { return !streamMayGo(hosts[id]); }),
         ready.end());
+    const bool guarded = set.streamRate > 0;
+    const double least = guarded ? kGuardedLeast : kStreamLeast, most = guarded ? kGuardedMost : kStreamMost;
     double all = 0, sum = 0;
     for (HostId id : ready) all += static_cast<double>(hosts[id].streams);
     HostId chosen = kNone;
     for (HostId id : ready) {
       const double fewer = all / static_cast<double>(ready.size()) - static_cast<double>(hosts[id].streams);
-      const double weight = std::clamp(1 + fewer, kStreamLeast, kStreamMost);
+      const double weight = std::clamp(1 + fewer, least, most);
       sum += weight;
       if (drawUnit() * sum < weight) chosen = id;
     }
@@ -682,7 +693,7 @@
   bool send(Open& r, HostId id, bool advised = false) {
     if (id == kNone || !canSend(r)) return false;
     Host& h = hosts[id];
-    if (isCold(h)) h.coldTokens -= 1;
+    if (isCold(h)) h.coldTokens = std::max(h.coldTokens - 1, -1.0);
     r.tries[r.count] = {id, now, true, true, false};
     if (!r.coming) hold(r, r.tries[r.count]);
     if (r.stream) beginStream(r.tries[r.count]);
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -3,6 +3,7 @@
 
 #include "support/process.hpp"
 #include "support/sockets.hpp"
+#include "support/wires.hpp"
 
 namespace finchstile::testing {
 namespace {
@@ -64,6 +65,53 @@
   EXPECT_EQ(program->wait(), 0);
 }
 
+// Streams and WebSocket by the operator's file alone, and a SIGTERM with both open.
+TEST_F(ProgramTest, StreamsAreCarriedAndEndedBeforeTheProcess) {
+  WireServer worker(io, echo);
+  json config = configJson(discovery.endpoint(), json::array({hostJson("s-0", worker.endpoint())}));
+  const tcp::endpoint at = tcp::acceptor(io, loopback()).local_endpoint(),
+                      scans = tcp::acceptor(io, loopback()).local_endpoint();
+  config["listen"] = text(at);
+  config["limits"]["sockets"] = 1024;
+  folder.write("config.json", config.dump());
+  folder.write("o.toml",
+               "[streams]\nenabled = true\n[streams.websocket]\nenabled = true\n"
+               "[[streams.listen]]\nname = 'scans'\naddress = '" +
+                   text(scans) + "'\nclass = 'book'\n");
+  run({"--operator", folder / "o.toml"});
+  const auto scanner = Wire::connect(io, scans);
+  scanner->write("scan");
+  ASSERT_TRUE(until([&] { return scanner->got == "scan" || scanner->over(); })) << program->logged();
+  // The echo of a handshake is no 101: refused, and the worker's answer seen as what it is.
+  const auto terminal = Wire::connect(io, at);
+  terminal->write(
+      "GET /read/live HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"
+      "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+  ASSERT_TRUE(until([&] { return terminal->got.find("\r\n\r\n") != std::string::npos || terminal->over(); }));
+  EXPECT_EQ(terminal->got.substr(0, 12), "HTTP/1.1 503");
+  program->signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_EQ(program->wait(), 0);
+  ASSERT_TRUE(until([&] { return scanner->over(); }));
+  EXPECT_NE(program->logged().find("stream scans failed by=gateway why=drain"), std::string::npos)
+      << program->logged();
+  EXPECT_NE(program->logged().find("stream websocket refused by=gateway why=turned_away"), std::string::npos);
+}
+
+TEST_F(ProgramTest, AStreamOfAnUnknownClassIsNoStart) {
+  configure(discovery.endpoint());
+  folder.write("o.toml",
+               "[streams]\nenabled = true\n[[streams.listen]]\nname = 'scans'\naddress = '127.0.0.1:9'\n"
+               "class = 'no'\n");
+  setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
+  program = std::make_unique<Process>(
+      FINCHSTILE_PROGRAM, std::vector<std::string>{"--operator", folder / "o.toml"}, folder / "log");
+  EXPECT_EQ(program->wait(), 1);
+  EXPECT_NE(program->logged().find("streams.listen 'scans': the platform's settings have no class 'no'"),
+            std::string::npos)
+      << program->logged();
+}
+
 // Hard case: SIGHUP with a broken file. Nothing of it takes effect, and the next good one does.
 TEST_F(ProgramTest, HooksAreSwappedByHangupAndABrokenOneLeavesTheOldInForce) {
   Server host(io, [](const auto& peer, const Received&) { peer->reply(200, "ok"); });
