A full store that refuses drops nothing before its time: at most once holds there too

Cause: with on_full = "refuse" an answered key was still dropped to make room for a new one, and its repeat ran again. Ruled out: the wheel (nothing expired early) and uncertain entries (never dropped).

Where the operator refuses when full, answered ones stay until their time is up and new keys find no room. With "pass" it is as before.

--- a/src/idempotency/settings.cpp
+++ b/src/idempotency/settings.cpp
@@ -53,6 +53,7 @@
     std::string full = "pass";
     r.choice("on_full", full, {"pass", "refuse"});
     out.refuseWhenFull = full == "refuse";
+    out.limits.evict = !out.refuseWhenFull;
     r.table("owners", [&](SettingReader& owners) { readOwners(owners, out.owners); });
     r.table("log", [&](SettingReader& log) { readLog(log, folder, out.log); });
   });
--- a/src/idempotency/store.cpp
+++ b/src/idempotency/store.cpp
@@ -111,7 +111,7 @@
 
 bool Store::evictOf(std::uint32_t tenant) {
   const EntryId oldest = tenants_[tenant].answered.first;
-  if (oldest == kNone) return false;
+  if (!limits_.evict || oldest == kNone) return false;
   drop(oldest);
   ++evicted_;
   return true;
--- a/tests/idempotency/run_test.cpp
+++ b/tests/idempotency/run_test.cpp
@@ -70,6 +70,7 @@
       settings.limits.keep = kKeep;
       settings.limits.tenantShare = 1;
       settings.refuseWhenFull = true;
+      settings.limits.evict = false;
       stage_ = std::make_unique<IdempotencyStage>(clock_, settings, 0, Seed{1, 2}, gateway_->stageHost());
       if (plan_.restartEvery != Steady::duration{}) {
         JournalSettings j;
@@ -294,6 +295,20 @@
   expectOnce("with the store on its log, killed", plan);
 }
 
+// Hard case: full at month-end, set to refuse. What was answered is not dropped to make room.
+TEST(IdempotencyRun, AFullStoreThatRefusesKeepsItsPromise) {
+  Plan plan;
+  plan.requests = 1500;
+  plan.entries = 100;
+  Load load(plan);
+  const Tally t = load.run();
+  print("with a full store that refuses", t);
+  EXPECT_EQ(t.doubleBookings, 0u);
+  EXPECT_EQ(t.twiceAnswered, 0u);
+  EXPECT_GT(t.refused, 100u);
+  EXPECT_GT(t.executions, 100u);
+}
+
 // A measurement only: what the same load does without, and with a store that is always full.
 TEST(IdempotencyRun, TheSameLoadWithoutAndFull) {
   if (!asked()) GTEST_SKIP() << "with FINCHSTILE_REQUESTS only";
--- a/tests/idempotency/store_test.cpp
+++ b/tests/idempotency/store_test.cpp
@@ -247,6 +247,21 @@
   EXPECT_EQ(arrive("n3").admission, Admission::fresh);
 }
 
+// Where the promise comes before new keys, nothing is dropped before its time.
+TEST_F(StoreTest, AFullStoreThatMayNotDropKeepsWhatWasAnswered) {
+  limits.entries = 4;
+  limits.tenantShare = 1;
+  limits.evict = false;
+  make(1);
+  for (int i = 0; i < 4; ++i) store->end(now, arrive("a" + std::to_string(i)).entry, E::served, ok());
+  EXPECT_EQ(arrive("n").admission, Admission::full);
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(arrive("a" + std::to_string(i)).admission, Admission::replay);
+  EXPECT_EQ(store->evicted(), 0u);
+  now += limits.keep + seconds(1);
+  store->expire(now);
+  EXPECT_EQ(arrive("n").admission, Admission::fresh);
+}
+
 TEST_F(StoreTest, OneTenantCannotPushTheOthersOut) {
   limits.entries = 1000;
   limits.tenantShare = 0.5;
