--- a/tests/websocket/front_test.cpp
+++ b/tests/websocket/front_test.cpp
@@ -212,6 +212,44 @@
   EXPECT_TRUE(heads.empty());
 }
 
+// What comes before a request comes before a handshake: here a rule that turns one path away, and sees the
+// 101.
+TEST_F(WebSocketTest, AHandshakePassesThroughTheStages) {
+  struct Rule : Stage {
+    std::uint8_t phases() const override {
+      return phaseBit(RequestPhase::arrived) | phaseBit(RequestPhase::answerHead) |
+             phaseBit(RequestPhase::ended);
+    }
+    Arrival onArrived(Exchange& x) override {
+      if (x.message->target() == "/read/closed") return {plainAnswer(http::status::forbidden), false};
+      return {};
+    }
+    void onAnswerHead(Exchange&, const AnswerHead& head, std::vector<HeaderLine>& toClient) override {
+      status = head.status;
+      toClient.push_back({"X-Tag", "seen"});
+    }
+    void onEnded(Exchange&, RequestEnd how) override { ends.push_back(how); }
+    unsigned status = 0;
+    std::vector<RequestEnd> ends;
+  } rule;
+  worker();
+  begin();
+  gateway->attach(rule);
+  const auto c = wire();
+  c->write(ask("", "/read/closed"));
+  ASSERT_TRUE(until([&] { return statusOf(*c) != 0; }));
+  EXPECT_EQ(statusOf(*c), 403);
+  EXPECT_TRUE(heads.empty());
+  EXPECT_EQ(count(Became::refused), 1u);
+  const auto d = wire();
+  d->write(ask());
+  ASSERT_TRUE(until([&] { return statusOf(*d) == 101; }));
+  EXPECT_EQ(rule.status, 101u);
+  EXPECT_NE(d->got.find("X-Tag: seen\r\n"), std::string::npos);
+  EXPECT_EQ(rule.ends, (std::vector<RequestEnd>{RequestEnd::rejected, RequestEnd::served}));
+  gateway.reset();  // before the rule
+}
+
 // Hard case: a 101 with a wrong accept value. It is no answer to this request, and another host is asked.
 TEST_F(WebSocketTest, AWrongAcceptIsNoAnswer) {
   worker([](const std::string&) {
