What the streams' fronts do with sockets alike stands once; what nothing used is gone

Cause: a look for a reset, a reset at the close and the text of an address stood twice or three times in the relay and its two fronts, the third without brackets for IPv6; a counter of frames, two wrappers and a call of the seam for fronts had no user.

src/stream/sockets.hpp has the three. Behaviour is the same but for the brackets. Tests of streams, WebSocket, net and the program pass.

--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -52,7 +52,6 @@
                     ridgeshift::Outcome outcome, Duration taken, bool last) = 0;
   virtual void left(ridgeshift::RequestId request) = 0;  // its client has gone, before it had begun
   virtual ridgeshift::Phase phaseOf(ridgeshift::HostId host) const = 0;  // `out` if it is not known
-  virtual std::size_t streamsOf(ridgeshift::HostId host) const = 0;
 };
 
 }  // namespace finchstile
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -151,7 +151,6 @@
             ridgeshift::Outcome outcome, Duration taken, bool last) override;
   void left(ridgeshift::RequestId request) override;
   ridgeshift::Phase phaseOf(ridgeshift::HostId host) const override;
-  std::size_t streamsOf(ridgeshift::HostId host) const override { return balancer_.streams(host); }
 
   Duration lagNow() const;
   bool answerOwnPaths(ClientSession& session, const ClientRequest& message);
--- a/src/stream/relay.cpp
+++ b/src/stream/relay.cpp
@@ -1,14 +1,13 @@
 #include "stream/relay.hpp"
 
-#include <poll.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <cstring>
 #include <utility>
 
+#include "stream/sockets.hpp"
+
 namespace finchstile::stream {
 namespace {
 
@@ -76,8 +75,7 @@
 void Relay::watch(Side side) {
   socket(side).async_wait(tcp::socket::wait_error, [this, side, self = shared_from_this()](error_code error) {
     if (over_ || error) return;
-    pollfd look{socket(side).native_handle(), 0, 0};
-    if (::poll(&look, 1, 0) <= 0 || !(look.revents & POLLERR)) return;  // an end in order, of both directions
+    if (!isBroken(socket(side))) return;  // an end in order, of both directions
     Pipe& p = pipe(side);
     p.broken = true;
     if (p.ended || p.writing) return broken(side);
@@ -389,8 +387,7 @@
     error_code ignored;
     // Danger: an end in order would tell this side that what it has is all there is. Where it was told in the
     // protocol's words, it knows.
-    if (!ending.orderly && !(pipe(other(s)).told && !pipe(s).broken))
-      socket(s).set_option(asio::socket_base::linger(true, 0), ignored);
+    if (!ending.orderly && !(pipe(other(s)).told && !pipe(s).broken)) resetAtClose(socket(s));
     socket(s).close(ignored);
   }
   events_.onRelayOver(id_, ending);
--- a/src/stream/relay.hpp
+++ b/src/stream/relay.hpp
@@ -74,7 +74,6 @@
   Pipe& pipe(Side from) { return pipes_[static_cast<std::size_t>(from)]; }
   const Pipe& pipe(Side from) const { return pipes_[static_cast<std::size_t>(from)]; }
   tcp::socket& socket(Side s) { return s == Side::client ? client_ : host_; }
-  bool over() const { return over_; }
 
   void pump(Side from);
   bool writeSome(Side from);
--- a/src/stream/tcp_front.cpp
+++ b/src/stream/tcp_front.cpp
@@ -1,12 +1,12 @@
 #include "stream/tcp_front.hpp"
 
-#include <poll.h>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <stdexcept>
 #include <utility>
 
+#include "stream/sockets.hpp"
+
 namespace finchstile::stream {
 namespace {
 
@@ -19,18 +19,6 @@
 
 constexpr Duration kAcceptPause = std::chrono::milliseconds(20);  // after a failed accept
 
-std::string text(const tcp::endpoint& e) {
-  const std::string address = e.address().to_string();
-  return (e.address().is_v6() ? "[" + address + "]:" : address + ":") + std::to_string(e.port());
-}
-
-// Danger: ended in order, a stream that never was would look like one that had nothing to say.
-void reset(tcp::socket& socket) {
-  error_code ignored;
-  socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket.close(ignored);
-}
-
 }  // namespace
 
 struct TcpFront::Listener {
@@ -75,7 +63,7 @@
       listener->acceptor.listen(asio::socket_base::max_listen_connections);
       listener->acceptor.non_blocking(true);
     } catch (const boost::system::system_error& error) {
-      throw std::runtime_error("streams.listen '" + l.name + "': " + text(l.at) + ": " +
+      throw std::runtime_error("streams.listen '" + l.name + "': " + textOf(l.at) + ": " +
                                error.code().message());
     }
     listeners_.push_back(std::move(listener));
@@ -118,7 +106,7 @@
   comer->request = gateway_.newRequest();
   comer->begun.request = comer->request;
   comer->begun.name = l.settings.name;
-  comer->begun.from = text(from);
+  comer->begun.from = textOf(from);
   comer->begun.since = clock_.now();
   comer->ends.ends = ProxyHeader::Ends{from, to};
   table_.account().onTaken(l.settings.name);
@@ -141,8 +129,7 @@
 void TcpFront::watch(const std::shared_ptr<Comer>& comer) {
   comer->client.async_wait(tcp::socket::wait_error, [this, comer](error_code error) {
     if (error || comer->over) return;
-    pollfd look{comer->client.native_handle(), 0, 0};
-    if (::poll(&look, 1, 0) > 0 && (look.revents & POLLERR)) drop(comer, {Ender::client, Why::left, false});
+    if (isBroken(comer->client)) drop(comer, {Ender::client, Why::left, false});
   });
 }
 
@@ -161,7 +148,7 @@
     comer->read.erase(0, r.used);
     if (r.header.ends) {
       comer->ends = r.header;
-      comer->begun.from = text(r.header.ends->from);
+      comer->begun.from = textOf(r.header.ends->from);
     }
     ask(comer);
   });
@@ -263,7 +250,9 @@
 void TcpFront::drop(const std::shared_ptr<Comer>& comer, const Ending& how) {
   if (std::exchange(comer->over, true)) return;
   comer->timer.cancel();
-  reset(comer->client);
+  error_code ignored;
+  resetAtClose(comer->client);
+  comer->client.close(ignored);
   comers_.erase(comer->request);
   table_.ended(comer->begun, how);
   if (std::exchange(comer->asked, false)) gateway_.left(comer->request);
--- a/src/websocket/frames.cpp
+++ b/src/websocket/frames.cpp
@@ -153,12 +153,10 @@
           if (const char* why = judgeClose(h, at + h.size, code)) return fault(code, why);
         closed_ = true;
       }
-      ++frames_;
       s.pass += whole;
       if (stop || closed_) return s;
       continue;
     }
-    ++frames_;
     s.pass += h.size;
     left_ = h.length;
     isMasked_ = h.masked;
--- a/src/websocket/frames.hpp
+++ b/src/websocket/frames.hpp
@@ -47,7 +47,6 @@
   bool atBoundary() const { return left_ == 0; }          // what has passed ends with a frame
   bool closed() const { return closed_; }                 // a Close has passed: no more may follow
   std::uint16_t closeCode() const { return closeCode_; }  // of it; 0: it gave none
-  std::uint64_t frames() const { return frames_; }
 
  private:
   struct Header {
@@ -79,7 +78,6 @@
   Utf8 utf8_;
   bool closed_ = false;
   std::uint16_t closeCode_ = 0;
-  std::uint64_t frames_ = 0;
 };
 
 // One whole frame without a mask (a server's), or with `key` (a client's).
--- a/src/websocket/front.cpp
+++ b/src/websocket/front.cpp
@@ -3,12 +3,15 @@
 #include <cstdio>
 #include <utility>
 
+#include "stream/sockets.hpp"
+
 namespace finchstile::websocket {
 namespace {
 
 namespace http = boost::beast::http;
 using stream::Ender;
 using stream::Ending;
+using stream::textOf;
 using stream::Why;
 
 constexpr const char* kName = "websocket";
@@ -22,8 +25,6 @@
   }
 }
 
-std::string text(const tcp::endpoint& e) { return e.address().to_string() + ":" + std::to_string(e.port()); }
-
 }  // namespace
 
 WebSocketFront::WebSocketFront(const Clock& clock, const WebSocketSettings& settings, std::string gateway,
@@ -82,7 +83,7 @@
 void WebSocketFront::onNotBegun(const UpgradeAsked& asked, RequestEnd how) {
   stream::Begun b;
   b.name = kName;
-  b.from = text(asked.from);
+  b.from = textOf(asked.from);
   b.since = asked.since;
   table_.ended(b, endingOf(how));
 }
@@ -102,8 +103,9 @@
                            std::move(u.head),
                            settings_.flow,
                            std::make_unique<WebSocketCodec>(rules, draw_)};
-  table_.take({u.request, u.attempt, u.host, kName, std::move(u.hostName), text(u.asked.from), u.asked.since},
-              std::move(parts));
+  table_.take(
+      {u.request, u.attempt, u.host, kName, std::move(u.hostName), textOf(u.asked.from), u.asked.since},
+      std::move(parts));
 }
 
 }  // namespace finchstile::websocket
--- a/src/websocket/handshake.cpp
+++ b/src/websocket/handshake.cpp
@@ -34,8 +34,6 @@
   return http::token_list{joined(f, header)}.exists(token);
 }
 
-std::size_t countOf(const Fields& f, http::field name) { return f.count(name); }
-
 std::vector<std::string> tokens(const std::string& list) {
   std::vector<std::string> out;
   for (const auto& token : http::token_list{list}) {
@@ -122,15 +120,13 @@
 
 HandshakeVerdict checkRequest(const RequestHead& head, const HandshakeRules& rules) {
   if (head.method() != http::verb::get || head.version() != 11) return {400, "not a GET of HTTP/1.1"};
-  if (countOf(head, http::field::host) != 1) return {400, "not one Host"};
+  if (head.count(http::field::host) != 1) return {400, "not one Host"};
   if (!names(head, http::field::connection, "upgrade")) return {400, "Connection does not name Upgrade"};
   if (head.count(http::field::content_length) + head.count(http::field::transfer_encoding) > 0)
     return {400, "a body"};
-  if (countOf(head, http::field::sec_websocket_version) != 1 ||
-      head[http::field::sec_websocket_version] != "13")
+  if (head.count(http::field::sec_websocket_version) != 1 || head[http::field::sec_websocket_version] != "13")
     return {426, "not version 13"};
-  if (countOf(head, http::field::sec_websocket_key) != 1 ||
-      !isKey(plain(head[http::field::sec_websocket_key])))
+  if (head.count(http::field::sec_websocket_key) != 1 || !isKey(plain(head[http::field::sec_websocket_key])))
     return {400, "not one key of sixteen bytes"};
   if (head.count(http::field::sec_websocket_accept) > 0) return {400, "an answer's header in a request"};
   const auto offered = tokens(joined(head, http::field::sec_websocket_protocol));
@@ -141,7 +137,7 @@
         offered.begin() + static_cast<std::ptrdiff_t>(i))
       return {400, "a subprotocol twice"};
   if (!rules.origins.empty()) {
-    if (countOf(head, http::field::origin) != 1) return {403, "not one Origin"};
+    if (head.count(http::field::origin) != 1) return {403, "not one Origin"};
     if (!wanted(rules.origins, std::string(plain(head[http::field::origin]))))
       return {403, "an Origin that may not ask"};
   }
@@ -169,7 +165,7 @@
   if (!names(answer, http::field::upgrade, "websocket")) return bad("Upgrade does not name websocket");
   if (!names(answer, http::field::connection, "upgrade")) return bad("Connection does not name Upgrade");
   const std::string accept = acceptOf(plain(asked[http::field::sec_websocket_key]));
-  if (countOf(answer, http::field::sec_websocket_accept) != 1 ||
+  if (answer.count(http::field::sec_websocket_accept) != 1 ||
       plain(answer[http::field::sec_websocket_accept]) != accept)
     return bad("the wrong Sec-WebSocket-Accept");
   AcceptVerdict v;
