--- a/src/idempotency/store.hpp
+++ b/src/idempotency/store.hpp
@@ -42,8 +42,8 @@
   double tenantShare = 0.5;                  // of entries and bytes that one tenant may hold
   std::size_t joinedMost = 64;               // waiters of one request
   Duration keep = std::chrono::seconds(60);  // from a request's end on; the window within which it runs once
-  // Answered ones make room for new ones before their time, the oldest first. Danger: a repeat of one that did
-  // runs again; where that may not be, new ones find no room instead.
+  // Answered ones make room for new ones before their time, the oldest first. Danger: a repeat of one that
+  // did runs again; where that may not be, new ones find no room instead.
   bool evict = true;
 };
 
