Load reports of answers are believed as far as they have told; a first rate counts at once

AttemptResult::report is the one addition to the module's interface, with SETTLED's metrics on the simulator's wire and X-Backend-Load on sockets; malformed ones are counted (lb_load_reports_spoilt_total). src/policy/reports.cpp fits, for each age of a report, what it told beyond the host's own pace; only what is proven counts, shrunk by its doubt, and idle-first stays as it was. While the module still guesses, what was answered in time since the first arrival is a rate of its own. The gateway has seams for lists, filters and observers of hosts (src/net/hosts.hpp).

--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -130,19 +130,22 @@
   rejected        // the request is at fault: no blame, and nobody else is to be asked
 };
 
+// A host's load as it reports it, some time ago and not exactly. NaN: not reported. What makes no sense
+// (below 0, not finite) counts as not reported.
+struct LoadReport {
+  double inflight = std::numeric_limits<double>::quiet_NaN();   // requests it holds
+  double queue = std::numeric_limits<double>::quiet_NaN();      // requests waiting
+  double latencyMs = std::numeric_limits<double>::quiet_NaN();  // how long its work lately took, milliseconds
+};
+
 struct AttemptResult {
   RequestId request = 0;
   std::uint32_t attempt = 0;
   HostId host = kNone;
   Outcome outcome = Outcome::served;
   Duration taken{};
-  bool terminal = false;  // nothing more is owed for the request
-};
-
-// A host's load as it reports it. NaN: not reported.
-struct LoadReport {
-  double inflight = std::numeric_limits<double>::quiet_NaN();  // requests it holds
-  double queue = std::numeric_limits<double>::quiet_NaN();     // requests waiting
+  bool terminal = false;               // nothing more is owed for the request
+  std::optional<LoadReport> report{};  // that its answer carried
 };
 
 struct ProbeResult {
--- a/src/app/ops_desk.cpp
+++ b/src/app/ops_desk.cpp
@@ -24,7 +24,7 @@
       timer_(io),
       server_(io, c.ops.value(), *this, {}) {
   refresh();
-  gateway_.setHostFilter(*this);
+  gateway_.addHostFilter(*this);
   waitToLook();
 }
 
--- a/src/membership/report.cpp
+++ b/src/membership/report.cpp
@@ -23,9 +23,9 @@
 
 }  // namespace
 
-std::optional<Report> readReport(std::string_view text) {
+std::optional<ridgeshift::LoadReport> readReport(std::string_view text) {
   if (text.size() > kReportMost || trimmed(text).empty()) return std::nullopt;
-  Report r;
+  ridgeshift::LoadReport r;
   for (;;) {
     const std::size_t comma = text.find(',');
     const std::string_view part = trimmed(text.substr(0, comma));
@@ -34,8 +34,8 @@
     double value = 0;
     if (!readNumber(part.substr(equals + 1), value)) return std::nullopt;
     const std::string_view name = part.substr(0, equals);
-    double* const to = name == "inflight"     ? &r.load.inflight
-                       : name == "queue"      ? &r.load.queue
+    double* const to = name == "inflight"     ? &r.inflight
+                       : name == "queue"      ? &r.queue
                        : name == "latency_ms" ? &r.latencyMs
                                               : nullptr;
     if (to) {
--- a/src/membership/report.hpp
+++ b/src/membership/report.hpp
@@ -9,15 +9,10 @@
 
 namespace finchstile::membership {
 
-struct Report {
-  ridgeshift::LoadReport load;
-  double latencyMs = std::numeric_limits<double>::quiet_NaN();  // recent service time without waiting
-};
-
 inline constexpr std::size_t kReportMost = 256;  // bytes of one
 
 // None: malformed, too long, a figure twice, or one that is no number of 0 or more. Names that are not known
 // are passed over.
-std::optional<Report> readReport(std::string_view text);
+std::optional<ridgeshift::LoadReport> readReport(std::string_view text);
 
 }  // namespace finchstile::membership
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -34,6 +34,7 @@
 
   void watch();                        // does nothing while a watch is on
   void move(const tcp::endpoint& at);  // asks another discovery for the whole list, and watches there
+  void renew() { move(at_); }          // the same, there
   void stop();
 
  private:
--- a/src/net/figures.hpp
+++ b/src/net/figures.hpp
@@ -15,10 +15,11 @@
 };
 
 struct GatewayFigures {
-  std::vector<ClassFigures> classes;  // in the order of the settings
-  std::uint64_t sends = 0;            // attempts whose last byte was written
-  std::uint64_t current = 0;          // requests taken and not yet ended
-  std::uint64_t listed = 0;           // hosts of the list, those that drain among them
+  std::vector<ClassFigures> classes;             // in the order of the settings
+  std::uint64_t sends = 0;                       // attempts whose last byte was written
+  std::uint64_t reports = 0, spoiltReports = 0;  // load reports of hosts that were read; that could not be
+  std::uint64_t current = 0;                     // requests taken and not yet ended
+  std::uint64_t listed = 0;                      // hosts of the list, those that drain among them
   std::uint64_t avoided = 0;  // of these: what gets nothing new now, by the list, by hand or by choice
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <string_view>
 
+#include "membership/report.hpp"
+
 namespace finchstile {
 namespace {
 
@@ -81,12 +83,16 @@
 
 void Gateway::start() {
   housekeepAt_ = clock_.now() + kHousekeep;
+  if (gate_) gate_->onStart(config_.known);
   learnHosts(config_.known, ListKind::restored);
   if (!config_.settings.askDiscovery) discovery_.watch();
   listener_.start();
 }
 
-void Gateway::reload(const Config& next) { discovery_.move(next.discovery); }
+void Gateway::reload(const Config& next) {
+  if (gate_) gate_->onMoved();
+  discovery_.move(next.discovery);
+}
 
 void Gateway::tune(const GatewayTuning& tuning) {
   listener_.tune(tuning.clients);
@@ -315,6 +321,8 @@
   GatewayFigures f;
   f.classes = counts_;
   f.sends = pool_.sends();
+  f.reports = reports_;
+  f.spoiltReports = spoiltReports_;
   f.current = relays_.size();
   for (const auto& [id, r] : requests_) f.current += !r.ended;
   for (const auto& [id, h] : hosts_) {
@@ -505,6 +513,7 @@
   const auto a = attempts_.find(id);
   if (a == attempts_.end()) return;
   a->second.head = clock_.now();
+  if (const auto h = hosts_.find(a->second.host); h != hosts_.end()) h->second.heard = a->second.head;
   balancer_.onHead(a->second.head, a->second.request, a->second.number);
   armTimer();
 }
@@ -557,7 +566,28 @@
   carryOut();
 }
 
+// What an attempt shows of its host beside what the module makes of it. `byLimit`: its time was up. Danger:
+// one that never had a connection for want of our own descriptors says nothing of the host.
+void Gateway::observe(HostId host, Outcome outcome, Time sent, bool byLimit) {
+  const auto h = hosts_.find(host);
+  if (h == hosts_.end()) return;
+  switch (outcome) {
+    case Outcome::served:
+    case Outcome::error:
+    case Outcome::full:
+    case Outcome::rejected: h->second.heard = clock_.now(); return;
+    case Outcome::timeout: break;
+    case Outcome::connectFailed:
+      if (byLimit) return;
+      break;
+    default: return;
+  }
+  if (observer_ && h->second.heard < sent) observer_->onSilent(h->second.listed.address);
+}
+
 void Gateway::onOutcome(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
+  if (const auto a = attempts_.find(id); a != attempts_.end())
+    observe(a->second.host, outcome, a->second.sent, false);
   settle(id, outcome, std::move(upstream));
   carryOut();
 }
@@ -580,6 +610,13 @@
   result.outcome = outcome;
   result.taken = (a.head != Time{} ? a.head : now) - a.sent;
   result.terminal = r->second.ended || outcome == Outcome::served;
+  if (const auto told = upstream.head["X-Backend-Load"]; !told.empty()) {
+    result.report = membership::readReport(view(told));
+    ++(result.report ? reports_ : spoiltReports_);
+    const auto host = hosts_.find(a.host);
+    if (observer_ && result.report && host != hosts_.end())
+      observer_->onReport(host->second.listed.address, *result.report);
+  }
   if (Exchange* const x = r->second.exchange.get()) {
     const bool may =
         outcome != Outcome::connectFailed && outcome != Outcome::full && outcome != Outcome::moot;
@@ -660,7 +697,9 @@
       changed.emplace_back(id, phase);
     // Danger: connections to an old address would be taken for ones to the new.
     if (record.endpoint != h.endpoint) pool_.setOpen(id, false);
-    record = {h.endpoint, inForce(h.entry).phase, h.entry, h.entry.zone, h.entry.cell};
+    // Another process at this name has shown no life yet.
+    const Time heard = !fresh && record.listed.upSince == h.entry.upSince ? record.heard : Time{};
+    record = {h.endpoint, inForce(h.entry).phase, h.entry, h.entry.zone, h.entry.cell, heard};
     named.push_back(id);
   }
   std::sort(named.begin(), named.end());
@@ -680,7 +719,7 @@
 
 ridgeshift::HostEntry Gateway::inForce(const ridgeshift::HostEntry& listed) const {
   ridgeshift::HostEntry entry = listed;
-  if (filter_) filter_->apply(entry);
+  for (const HostFilter* filter : filters_) filter->apply(entry);
   return entry;
 }
 
@@ -699,10 +738,36 @@
 }
 
 void Gateway::onHostList(HostList&& list) {
+  if (!gate_) return takeList(list);
+  if (const auto told = gate_->onList(std::move(list))) return takeList(*told);
+  // Danger: a watch that brings what is passed over is a watch all the same; else the module asks again.
+  takeList({});
+}
+
+void Gateway::takeList(const HostList& list) {
   learnHosts(list, list.whole ? ListKind::replace : ListKind::update);
 }
 
+void Gateway::askWholeList() { discovery_.renew(); }
+
+Time Gateway::answeredAt(const std::string& host) const {
+  const HostId id = balancer_.findHost(host);
+  const auto it = id == kNone ? hosts_.end() : hosts_.find(id);
+  return it == hosts_.end() ? Time{} : it->second.heard;
+}
+
+std::vector<Gateway::HostView> Gateway::hosts() const {
+  std::vector<HostView> out;
+  for (const auto& [id, h] : hosts_)
+    if (h.listed.phase != Phase::out)
+      out.push_back({h.listed, h.endpoint, h.phase, h.heard, balancer_.avoids(id), balancer_.streams(id)});
+  std::sort(out.begin(), out.end(),
+            [](const HostView& a, const HostView& b) { return a.listed.address < b.listed.address; });
+  return out;
+}
+
 void Gateway::onDiscoveryLost() {
+  if (gate_) gate_->onLost();
   balancer_.onHosts(clock_.now(), ListKind::unavailable, {});
   carryOut();
 }
@@ -803,7 +868,10 @@
   while (!limits_.empty() && limits_.begin()->first <= now) {
     const AttemptId id = limits_.begin()->second;
     const bool began = pool_.giveUp(id);
-    settle(id, began ? Outcome::timeout : Outcome::connectFailed, {});
+    const Outcome outcome = began ? Outcome::timeout : Outcome::connectFailed;
+    if (const auto a = attempts_.find(id); a != attempts_.end())
+      observe(a->second.host, outcome, a->second.sent, true);
+    settle(id, outcome, {});
   }
   failHeld(now);
   if (wake_ != Time{} && wake_ <= now) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -22,6 +22,7 @@
 #include "net/discovery.hpp"
 #include "net/figures.hpp"
 #include "net/front.hpp"
+#include "net/hosts.hpp"
 #include "net/request.hpp"
 #include "net/stage.hpp"
 #include "net/upgrade.hpp"
@@ -30,13 +31,6 @@
 
 namespace finchstile {
 
-// What stands of an entry of the list: a seam for whoever may take hosts out beside the list.
-class HostFilter {
- public:
-  virtual ~HostFilter() = default;
-  virtual void apply(ridgeshift::HostEntry& entry) const = 0;
-};
-
 class Gateway : ClientEvents, UpstreamEvents, DiscoveryEvents, StageHost, FrontHost {
  public:
   Gateway(boost::asio::io_context& io, const Clock& clock, Config config);
@@ -52,9 +46,24 @@
   // Goes over to the discovery that `next` names; hosts, requests and connections stay as they are. All else
   // in it takes effect at the next start.
   void reload(const Config& next);
-  // Must outlive the gateway. `refilter` when it would say something else than before.
-  void setHostFilter(const HostFilter& filter) { filter_ = &filter; }
+  // These must outlive the gateway. Gate and observer: before `start`.
+  void addHostFilter(const HostFilter& filter) { filters_.push_back(&filter); }
+  void setListGate(ListGate& gate) { gate_ = &gate; }
+  void setHostObserver(HostObserver& observer) { observer_ = &observer; }
   void refilter();
+  void takeList(const HostList& list);  // past the gate
+  void askWholeList();                  // of discovery, in place of the watch that is on
+  // When a host of that name last showed life to one of our attempts; 0: never, or it is not known.
+  Time answeredAt(const std::string& host) const;
+  struct HostView {  // for operators
+    ridgeshift::HostEntry listed;
+    tcp::endpoint endpoint;
+    ridgeshift::Phase inForce{};
+    Time answered{};
+    bool avoided = false;
+    std::size_t streams = 0;
+  };
+  std::vector<HostView> hosts() const;  // those listed and not gone, by name
   // Sends clients away without an end: not ready, answers close their connections, those at rest are closed
   // after a while. `takeBack` ends that.
   void sendAway();
@@ -109,6 +118,7 @@
     ridgeshift::HostEntry listed;                      // as the list has it
     std::string zone;
     std::int64_t cell = 0;
+    Time heard{};  // showed life to an attempt; 0: never
   };
   struct RelayRecord {  // an answer that is passed on piece by piece
     ridgeshift::RequestId request = 0;
@@ -154,6 +164,7 @@
 
   Duration lagNow() const;
   bool answerOwnPaths(ClientSession& session, const ClientRequest& message);
+  void observe(ridgeshift::HostId host, ridgeshift::Outcome outcome, Time sent, bool byLimit);
   void learnHosts(const HostList& list, ridgeshift::ListKind kind);
   ridgeshift::HostEntry inForce(const ridgeshift::HostEntry& listed) const;
   void count(const RequestRecord& record, boost::beast::http::status status);
@@ -188,8 +199,11 @@
   ridgeshift::Balancer balancer_;
   Listener listener_;
   UpstreamPool pool_;
-  const HostFilter* filter_ = nullptr;
+  std::vector<const HostFilter*> filters_;
+  ListGate* gate_ = nullptr;
+  HostObserver* observer_ = nullptr;
   std::vector<ClassFigures> counts_;
+  std::uint64_t reports_ = 0, spoiltReports_ = 0;
   Discovery discovery_;
   boost::asio::steady_timer timer_;
   Time armed_{}, wake_{}, housekeepAt_{}, closeListenerAt_{}, exitAt_{};
--- a/src/ops/exposition.cpp
+++ b/src/ops/exposition.cpp
@@ -32,6 +32,8 @@
   one(out, "current", "gauge", f.current);
   one(out, "cluster_size", "gauge", f.listed);
   one(out, "cluster_unhealthy", "gauge", f.avoided);
+  one(out, "load_reports_total", "counter", f.reports);
+  one(out, "load_reports_spoilt_total", "counter", f.spoiltReports);
   one(out, "conf_loaded_total", "counter", config.loaded);
   one(out, "conf_invalid_total", "counter", config.invalid);
   return out;
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -137,9 +137,10 @@
   // --- Host health ------------------------------------------------------------------------------------
 
   // Our own outcome: the class's usual time, and what the pool answers in time.
-  void judge(HostId id, const Open& r, const AttemptResult& a) {
+  void judge(const Try& t, const Open& r, const AttemptResult& a) {
     ClassState& c = classes[r.cls];
-    Host& h = hosts[id];
+    Host& h = hosts[t.host];
+    if (a.report) reports.heard(h.reported, *a.report, now);
     if (r.stream) return judgeStream(h, a.outcome);
     const double taken = std::max(toSeconds(a.taken), 1e-6);  // zero would make every ratio meaningless
     if (a.outcome == Outcome::served && c.norm <= 0) c.norm = taken / r.cost;
@@ -152,6 +153,7 @@
       // pool slow and starve. By its usual time an answer weighs as its work.
       const double weight = meanWork > 0 ? std::clamp(c.norm * r.cost / meanWork, 0.1, 10.0) : 1;
       inTime += weight * (now <= r.aimAt ? 1 : c.set.lateShare);
+      if (guessing()) firstInTime += now <= r.aimAt;
     }
     // Time-outs count at their length: left out, a pool that turns slow would look as quick as its survivors.
     if (r.load >= 0 && (a.outcome == Outcome::served || a.outcome == Outcome::timeout)) {
@@ -159,6 +161,8 @@
       bareSeen = std::min(bareSeen + 1, kBareSamples);
       bareOfAim += (part - bareOfAim) / bareSeen;
     }
+    if (a.outcome == Outcome::served || a.outcome == Outcome::timeout)
+      reports.learn(t.hint, sample / std::max(h.pace, 0.05));
     learn(h, a.outcome, sample, true);
     tellKeeper(h, peer::Kind::done, a.outcome, sample);
     if (a.outcome == Outcome::cancelled || a.outcome == Outcome::moot || a.outcome == Outcome::rejected)
@@ -365,7 +369,14 @@
     // Before anything was measured (own start in an overload) and after a lull, per-host guesses stand in.
     const double least =
         guessing() ? kFirstPerHost * ease / set.groupSize : std::max(kFloorPerHost / set.groupSize, calmHeld);
-    return std::max(fastRate * meanAim * kMaxOfAim * ease, least * count + 2);
+    return std::max(std::max(fastRate, firstRate()) * meanAim * kMaxOfAim * ease, least * count + 2);
+  }
+  // Danger: until the swept rate has come near the true one, fast hosts would stand idle under the guess.
+  // What was answered in time since the first arrival is no guess: both ends of it were seen here. Slow or
+  // cold hosts show few answers, and the guess stands.
+  double firstRate() const {
+    if (!guessing() || firstInTime < kLeastSamples || now - firstCame < milliseconds(1)) return 0;
+    return firstInTime / toSeconds(now - firstCame);
   }
   bool guessing() const { return now - started < 10 * kSweep || answers < kLeastSamples; }
 
@@ -473,7 +484,9 @@
 
   // --- Pick -------------------------------------------------------------------------------------------
 
-  double load(const Host& h) const { return (h.inflight + 1) * h.pace; }
+  // Its pace, and what its last report makes of it as far as such reports are worth anything.
+  double paceNow(const Host& h) const { return h.pace * reports.factor(reports.hint(h.reported, now)); }
+  double load(const Host& h) const { return (h.inflight + 1) * paceNow(h); }
   bool idle(const Host& h) const {  // holds none of ours; a fast host may hold more
     return h.inflight < std::max(1.0, medianPace / std::max(h.pace, 0.05));
   }
@@ -600,7 +613,8 @@
     for (HostId id : ready) {
       const Host& h = hosts[id];
       if (!idle(h)) continue;
-      const double weight = (h.local ? kLocalLean : 1) / std::max(std::pow(h.pace, sparse() ? 4 : 2), 0.01);
+      const double weight =
+          (h.local ? kLocalLean : 1) / std::max(std::pow(paceNow(h), sparse() ? 4 : 2), 0.01);
       sum += weight;
       if (drawUnit() * sum < weight) chosen = id;
     }
@@ -694,7 +708,8 @@
     if (id == kNone || !canSend(r)) return false;
     Host& h = hosts[id];
     if (isCold(h)) h.coldTokens = std::max(h.coldTokens - 1, -1.0);
-    r.tries[r.count] = {id, now, true, true, false};
+    r.tries[r.count] = {id, now, true, true};
+    r.tries[r.count].hint = reports.hint(h.reported, now);
     if (!r.coming) hold(r, r.tries[r.count]);
     if (r.stream) beginStream(r.tries[r.count]);
     ++h.refs;
@@ -874,6 +889,7 @@
     else expect(r, c, q);
     retryTokens = std::min(retryTokens + kRetryShare, kRetryBurst);
     arrivals += 1;
+    if (firstCame == Time{}) firstCame = now;
     r.score = scoreOf(worthOf(r, q.tenantIndex));
     if (!looks()) smoothHeld += (heldNow() - smoothHeld) * kHeldGain;
     renewCut();
@@ -919,7 +935,7 @@
     endStream(t);
     if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
       t.mayHaveRun = false;
-    judge(t.host, r, a);
+    judge(t, r, a);
     if (a.terminal && !r.ended) {
       r.ended = true;
       cancelOut(r);
@@ -1019,6 +1035,7 @@
         h.pace = kinds[h.kind].pace / std::sqrt(warmth(h));
         h.coldTokens = 1;
         h.coldAt = now;
+        h.reported = {};
       }
     }
     listed.clear();
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "policy/reports.hpp"
 #include "ridgeshift/ridgeshift.hpp"
 
 namespace ridgeshift {
@@ -72,6 +73,7 @@
   std::size_t streams = 0;  // that it holds, or is sent
   double streamTokens = 1;
   Time streamsAt{};
+  Reported reported;
   std::deque<RequestId> sent;    // in order of sending
   std::deque<RequestId> probes;  // requests that wait for its report
   std::uint64_t group = 0;       // of the hosts that have one keeper
@@ -122,6 +124,7 @@
   bool out = false, mayHaveRun = false, cancelled = false;
   bool held = false;    // counts as held by the host
   bool stream = false;  // counts among its streams
+  Hint hint{};          // of the host's load, as it went out
 };
 
 struct Open {
@@ -190,6 +193,8 @@
   Time now{}, started{}, nextSweep{}, armed{};
   double smoothHeld = 0, cut = 0, errorOverload = 0;
   double inTime = 0, fastRate = 0;  // answers within the aim: since the sweep; a second
+  Time firstCame{};                 // the first arrival,
+  double firstInTime = 0;           // and what was answered in time soon after it
   double arrivals = 0, arrivalRate = 0, arrivalSweeps = 0,
          answers = 0;                // since the sweep; a sweep, remembered like the mix
   double fullSeen = 0, outcomeSeen;  // decayed counts
@@ -201,6 +206,7 @@
   double lostTime = 0, heldTime = 0;   // seconds of an attempt: of the lost, of all
   double bareOfAim = 0, bareSeen = 0;  // time for each request held, against the aim
   double retryTokens = 0;
+  Reports reports;
   std::size_t streams = 0;
   bool asking = false, answered = false;
   Time askedAt{}, askAgain{};
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -440,6 +440,7 @@
       coded = true;
     } else if (p.name == "timeTakenNs") a.taken = span(p);
     else if (p.name == "terminal") a.terminal = boolean(p);
+    else if (p.name == "metrics") a.report = g.report(p.value);
   }
   if (id.empty() || !numbered || !coded) throw BadLine("ref, go or disposition missing");
   std::uint32_t slot = 0;
@@ -462,6 +463,7 @@
     row.remove_prefix(std::min(end + 1, row.size()));
     if (field == "outstanding") r.inflight = value;
     else if (field == "backlog") r.queue = value;
+    else if (field == "recent_ms") r.latencyMs = value;
   }
   return r;
 }
--- a/tests/ops/exposition_test.cpp
+++ b/tests/ops/exposition_test.cpp
@@ -12,6 +12,8 @@
   f.current = 14;
   f.listed = 12;
   f.avoided = 2;
+  f.reports = 5;
+  f.spoiltReports = 6;
   EXPECT_EQ(exposition(f, {4, 1}),
             "# TYPE lb_transactions_total counter\n"
             "lb_transactions_total{group=\"log-in\",state=\"answered\"} 812\n"
@@ -24,6 +26,8 @@
             "# TYPE lb_current gauge\nlb_current 14\n"
             "# TYPE lb_cluster_size gauge\nlb_cluster_size 12\n"
             "# TYPE lb_cluster_unhealthy gauge\nlb_cluster_unhealthy 2\n"
+            "# TYPE lb_load_reports_total counter\nlb_load_reports_total 5\n"
+            "# TYPE lb_load_reports_spoilt_total counter\nlb_load_reports_spoilt_total 6\n"
             "# TYPE lb_conf_loaded_total counter\nlb_conf_loaded_total 4\n"
             "# TYPE lb_conf_invalid_total counter\nlb_conf_invalid_total 1\n");
 }
--- /dev/null
+++ b/tests/policy/reports_test.cpp
@@ -0,0 +1,246 @@
+// Load reports: believed as far as reports of their age have told what came, and no further.
+#include "policy/reports.hpp"
+
+#include <cmath>
+#include <random>
+
+#include "support/driver.hpp"
+
+namespace ridgeshift::testing {
+namespace {
+
+LoadReport queueOf(double n) {
+  LoadReport r;
+  r.queue = n;
+  return r;
+}
+
+// One host whose reports swing; each is used at the age of `used`, and an answer then takes exp(`tells` x how
+// far the report was apart) times its pace, times some noise.
+struct Told {
+  Reports reports;
+  Reported host;
+  std::mt19937 dice{5};
+  Time now = seconds(100);
+  std::normal_distribution<double> noise{0, 0.5};
+
+  Hint report(double queue, Duration used) {
+    now += milliseconds(100);
+    reports.heard(host, queueOf(queue), now);
+    return reports.hint(host, now + used);
+  }
+  void teach(int answers, Duration used, double tells) {
+    for (int i = 0; i < answers; ++i) {
+      const Hint h = report(dice() % 2 ? 0 : 8, used);
+      reports.learn(h, std::exp(tells * h.apart[0] + noise(dice)));
+    }
+  }
+  double factorOf(double queue, Duration used) { return reports.factor(report(queue, used)); }
+};
+
+TEST(Reports, WhatHasToldIsGoneBy) {
+  Told t;
+  EXPECT_EQ(t.factorOf(8, {}), 1);  // nothing is known of reports yet
+  t.teach(400, milliseconds(20), 0.5);
+  EXPECT_GT(t.factorOf(8, milliseconds(20)), 1.4);
+  EXPECT_LT(t.factorOf(0, milliseconds(20)), 0.8);
+}
+
+TEST(Reports, WhatTellsNothingIsWorthNothing) {
+  Told t;
+  t.teach(5000, milliseconds(20), 0);
+  EXPECT_EQ(t.factorOf(8, milliseconds(20)), 1);
+  EXPECT_EQ(t.factorOf(0, milliseconds(20)), 1);
+}
+
+// Chance alone, over many looks: a report is hardly ever believed.
+TEST(Reports, ChanceIsSeldomBelieved) {
+  int believed = 0;
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    Told t;
+    t.dice.seed(seed);
+    t.teach(500, milliseconds(20), 0);
+    believed += t.factorOf(8, milliseconds(20)) != 1;
+  }
+  EXPECT_LE(believed, 4);
+}
+
+// Hard case: reports that are late by seconds do no harm, and spoil nothing for fresh ones.
+TEST(Reports, EachAgeIsJudgedByItself) {
+  Told t;
+  for (int i = 0; i < 100; ++i) {
+    t.teach(5, milliseconds(20), 0.5);
+    t.teach(5, seconds(3), 0);
+  }
+  EXPECT_GT(t.factorOf(8, milliseconds(20)), 1.4);
+  EXPECT_EQ(t.factorOf(8, seconds(3)), 1);
+}
+
+// A report that says the contrary of what comes is a lie or a mistake, and no guide by being turned round.
+TEST(Reports, NothingIsReadBackwards) {
+  Told t;
+  t.teach(2000, milliseconds(20), -0.5);
+  EXPECT_EQ(t.factorOf(8, milliseconds(20)), 1);
+}
+
+// Hard case: a report that says 0 for ever.
+TEST(Reports, OneThatNeverChangesTellsNothing) {
+  Told t;
+  for (int i = 0; i < 1000; ++i) {
+    const Hint h = t.report(0, milliseconds(20));
+    t.reports.learn(h, std::exp(t.noise(t.dice)));
+  }
+  EXPECT_EQ(t.factorOf(0, milliseconds(20)), 1);
+  EXPECT_EQ(t.factorOf(1e300, milliseconds(20)), 1);
+}
+
+TEST(Reports, NoReportOutweighsAHostsOwnAnswersByFar) {
+  Told t;
+  t.teach(2000, milliseconds(20), 1);
+  EXPECT_LE(t.factorOf(1e6, milliseconds(20)), 3);
+  EXPECT_GE(t.factorOf(0, milliseconds(20)), 1.0 / 3);
+}
+
+TEST(Reports, WhatMakesNoSenseCountsAsNotReported) {
+  Reports reports;
+  Reported host;
+  for (const double v : {-1.0, std::nan(""), HUGE_VAL}) {
+    LoadReport r = queueOf(v);
+    r.latencyMs = v;
+    reports.heard(host, r, seconds(1));
+  }
+  EXPECT_FALSE(reports.hint(host, seconds(2)).any);
+  reports.heard(host, queueOf(3), seconds(1));
+  EXPECT_TRUE(reports.hint(host, seconds(2)).any);
+}
+
+// What they learned is forgotten in about five hundred answers: hosts that begin to lie are found out.
+TEST(Reports, TrustThatIsBetrayedEnds) {
+  Told t;
+  t.teach(1000, milliseconds(20), 0.5);
+  ASSERT_GT(t.factorOf(8, milliseconds(20)), 1.4);
+  t.teach(4000, milliseconds(20), 0);
+  EXPECT_LT(t.factorOf(8, milliseconds(20)), 1.1);
+}
+
+// --- With the module: hosts that another gateway keeps busy by turns, which our own in-flight can't show.
+
+enum class Reporting { none, fresh, late, zero, mad };
+
+// Mean time of our requests, one at a time.
+double meanTaken(Reporting how, unsigned seed) {
+  Settings s = makeSettings();
+  s.seed = seed;
+  Driver d(s, 4);
+  std::mt19937 dice(seed);
+  std::vector<std::vector<double>> queues;  // by ten milliseconds
+  std::vector<double> queue(4, 0);
+  double sum = 0;
+  int count = 0;
+  for (int i = 0; i < 3000; ++i) {
+    for (double& q : queue)
+      if (dice() % 50 == 0) q = dice() % 2 ? 9 : 0;
+    queues.push_back(queue);
+    d.request(0);
+    const Sent sent = d.lastSent();
+    const auto at = static_cast<std::size_t>(sent.host == d.host(0)   ? 0
+                                             : sent.host == d.host(1) ? 1
+                                             : sent.host == d.host(2) ? 2
+                                                                      : 3);
+    const Duration taken = milliseconds(2) * (1 + static_cast<int>(queue[at])) / 2;
+    d.advance(milliseconds(10), milliseconds(10));
+    AttemptResult r{sent.request, sent.attempt, sent.host, Outcome::served, taken, true, {}};
+    const auto then = [&](std::size_t steps) {
+      return queues[queues.size() - std::min(queues.size(), steps)];
+    };
+    switch (how) {
+      case Reporting::none: break;
+      case Reporting::fresh: r.report = queueOf(then(1)[at]); break;
+      case Reporting::late: r.report = queueOf(then(300)[at]); break;
+      case Reporting::zero: r.report = queueOf(0); break;
+      case Reporting::mad: r.report = queueOf(static_cast<double>(dice() % 1000)); break;
+    }
+    d.balancer.onResult(d.now, r);
+    d.collect();
+    d.out.clear();
+    if (i >= 500) sum += std::chrono::duration<double, std::milli>(taken).count(), ++count;
+  }
+  return sum / count;
+}
+
+TEST(Reports, InThePickTheyHelpWhereTheyTellAndDoNoHarmElsewhere) {
+  double none = 0, fresh = 0, late = 0, zero = 0, mad = 0;
+  for (unsigned seed = 1; seed <= 6; ++seed) {
+    none += meanTaken(Reporting::none, seed) / 6;
+    fresh += meanTaken(Reporting::fresh, seed) / 6;
+    late += meanTaken(Reporting::late, seed) / 6;
+    zero += meanTaken(Reporting::zero, seed) / 6;
+    mad += meanTaken(Reporting::mad, seed) / 6;
+  }
+  ::testing::Test::RecordProperty("none_ms", std::to_string(none));
+  printf("mean ms: none %.3f fresh %.3f late %.3f zero %.3f mad %.3f\n", none, fresh, late, zero, mad);
+  EXPECT_LT(fresh, 0.9 * none);
+  EXPECT_LT(late, 1.03 * none);
+  EXPECT_EQ(zero, none);
+  EXPECT_LT(mad, 1.03 * none);
+}
+
+// Hard case: a worker restarts between two facts.
+TEST(Reports, OfTheProcessBeforeNothingHolds) {
+  Driver told(makeSettings(), 2), untold(makeSettings(), 2);
+  for (Driver* d : {&told, &untold}) {
+    d->request(0);
+    const Sent s = d->lastSent();
+    d->advance(milliseconds(10));
+    AttemptResult r{s.request, s.attempt, s.host, Outcome::served, milliseconds(10), true, {}};
+    if (d == &told) r.report = queueOf(50);
+    d->balancer.onResult(d->now, r);
+    HostEntry again = makeHost(s.host == d->host(0) ? 0 : 1, "east", s.host == d->host(0) ? 0 : 1);
+    again.upSince = d->now;
+    d->balancer.onHosts(d->now, ListKind::update, {again});
+    d->collect();
+  }
+  for (int i = 0; i < 200; ++i)
+    for (Driver* d : {&told, &untold}) {
+      d->request(0);
+      d->advance(milliseconds(10));
+      while (!d->out.empty()) d->serve(Sent(d->out.front()));
+    }
+  ASSERT_EQ(told.sent.size(), untold.sent.size());
+  for (std::size_t i = 0; i < told.sent.size(); ++i) ASSERT_EQ(told.sent[i].host, untold.sent[i].host);
+}
+
+// --- The first moments
+
+// 16 clients in a closed loop before two idle hosts that answer in 50 us: 1,643 of their requests were
+// refused in the first 200 ms.
+TEST(FirstMoments, FastHostsAreNotHeldToTheGuess) {
+  Driver d(makeSettings(), 2);
+  for (int i = 0; i < 16; ++i) d.request(0);
+  std::size_t refused = 0;
+  for (int step = 0; step < 4000; ++step) {  // 200 ms
+    d.advance(std::chrono::microseconds(50), std::chrono::microseconds(50));
+    const std::vector<Sent> due = d.out;
+    for (const Sent& s : due) d.serve(s);
+    for (std::size_t i = due.size(); i < 16; ++i) ++refused;  // comes anew at once
+    for (int i = 0; i < 16; ++i) d.request(0);
+  }
+  for (const auto& [id, kind] : d.answers) refused += kind == ActionKind::refuse;
+  EXPECT_LE(refused, 16u);
+}
+
+// Where nothing has been answered, nothing is learned: a slow fleet is not pushed over by it.
+TEST(FirstMoments, SlowHostsAreHeldToTheGuess) {
+  Driver d(makeSettings(), 2);
+  std::size_t most = 0;
+  for (int i = 0; i < 900; ++i) {
+    d.request(0);
+    d.advance(milliseconds(1), milliseconds(1));
+    if (i > 100 && i % 25 == 0 && !d.out.empty()) d.serve(Sent(d.out.front()));  // 40 a second
+    most = std::max(most, d.out.size());
+  }
+  EXPECT_LT(most, 30u);
+}
+
+}  // namespace
+}  // namespace ridgeshift::testing
