One channel to the other gateways for all who talk over it

Need: owners of keys opened the datagram socket and its secret for themselves; what is known of hosts is to go over the same one.

PeerLink has the channel, the secret, and another key for each use.

--- a/bench/idempotency_owners.cpp
+++ b/bench/idempotency_owners.cpp
@@ -35,7 +35,8 @@
   One(const nlohmann::json& config, const IdempotencySettings& settings, const peer::PeerSettings& peers)
       : read(readConfig(config.dump(), clock)), gateway(io, clock, read) {
     stage = std::make_unique<IdempotencyStage>(clock, settings, 0, Seed{1, peers.own}, gateway.stageHost());
-    owners = std::make_unique<KeyOwners>(io, clock, settings, peers, read.settings, *stage);
+    link = std::make_unique<PeerLink>(io, clock, peers);
+    owners = std::make_unique<KeyOwners>(io, clock, settings, *link, read.settings, *stage);
     gateway.attach(*stage);
     gateway.start();
     at = gateway.endpoint();
@@ -50,6 +51,7 @@
   const Config read;
   std::unique_ptr<IdempotencyStage> stage;
   Gateway gateway;
+  std::unique_ptr<PeerLink> link;
   std::unique_ptr<KeyOwners> owners;
   asio::ip::tcp::endpoint at;
   std::thread loop;
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -22,6 +22,7 @@
 #include "app/key_owners.hpp"
 #include "app/operator_file.hpp"
 #include "app/ops_desk.hpp"
+#include "app/peer_link.hpp"
 #include "app/succession.hpp"
 #include "crossing/stage.hpp"
 #include "hook/files.hpp"
@@ -90,6 +91,7 @@
   void serve() {
     waitForSignal();
     if (built_.hooks) takeHooks();
+    if (built_.file.peers.enabled) peers_ = std::make_unique<PeerLink>(io_, clock_, built_.file.peers);
     attachCrossing();
     attachIdempotency();
     attachStreams();
@@ -219,8 +221,8 @@
     if (!settings.log.folder.empty())
       keyLog_ = std::make_unique<KeyLog>(io_, clock_, settings, config_.settings, *idempotency_);
     if (settings.owners.enabled)
-      keyOwners_ = std::make_unique<KeyOwners>(io_, clock_, settings, built_.file.peers, config_.settings,
-                                               *idempotency_);
+      keyOwners_ =
+          std::make_unique<KeyOwners>(io_, clock_, settings, *peers_, config_.settings, *idempotency_);
     gateway_.attach(*idempotency_);
     waitToReport();
   }
@@ -248,7 +250,7 @@
       if (stopped) return;
       std::vector<std::string> lines = hooks_.chain().summary(clock_.now());
       if (idempotency_) lines.push_back(idempotency_->summary());
-      if (keyOwners_) lines.push_back(keyOwners_->summary());
+      if (peers_) lines.push_back(peers_->summary());
       if (streams_) lines.push_back(streams_->account().summary());
       if (crossing_)
         for (std::string& line : crossing_->summary()) lines.push_back(std::move(line));
@@ -272,6 +274,7 @@
   std::unique_ptr<idempotency::IdempotencyStage> idempotency_;
   std::unique_ptr<crossing::CrossingStage> crossing_;
   std::unique_ptr<KeyLog> keyLog_;
+  std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<KeyOwners> keyOwners_;
   Gateway gateway_;
   std::unique_ptr<stream::StreamTable> streams_;
