--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "app/hook_commands.hpp"
+#include "app/hosts_command.hpp"
 #include "app/operator_file.hpp"
 #include "app/run.hpp"
 #include "hook/files.hpp"
@@ -61,6 +62,7 @@
   files(checks);
   std::function<int()> chosen;
   addHookCommands(app, chosen);
+  addHostsCommand(app, chosen);
   app.require_subcommand(0, 1);
   try {
     app.parse(argc, argv);
--- a/tests/app/members_test.cpp
+++ b/tests/app/members_test.cpp
@@ -97,6 +97,10 @@
     const auto end = std::chrono::steady_clock::now() + d;
     until([&] { return std::chrono::steady_clock::now() >= end; });
   }
+  bool drains(Node& n, const std::string& host) {
+    return until(
+        [&] { return n.members->text(host).value_or("").find("now=draining") != std::string::npos; });
+  }
   // So many requests one after the other; the number that was served.
   std::size_t ask(Node& n, std::size_t times, int leftMs = 2500) {
     const auto c = Client::connect(io, n.gateway.endpoint());
@@ -170,8 +174,8 @@
   Node& a = node(listed());
   Node& b = node(listed());
   a.list(5, false, json::array({hostJson("s-0", hosts[0]->endpoint(), "leaving")}));
-  ASSERT_TRUE(until([&] { return b.members->gossip()->counts().claims == 1; }));
-  pass(milliseconds(60));
+  ASSERT_TRUE(drains(b, "s-0"));
+  EXPECT_EQ(b.members->gossip()->counts().claims, 1u);
   auto before = received();
   EXPECT_EQ(ask(b, 20), 20u);
   EXPECT_EQ(received()[0], before[0]);
@@ -203,8 +207,8 @@
          tries < 60 && nodes[static_cast<std::size_t>(i)]->members->gossip()->counts().sent == 0; ++tries)
       ask(*nodes[static_cast<std::size_t>(i)], 1, 200);
   Node& fourth = *nodes[3];
-  ASSERT_TRUE(until([&] { return fourth.members->gossip()->heldSilent() == 1; }));
-  pass(milliseconds(60));
+  ASSERT_TRUE(drains(fourth, "s-0"));
+  EXPECT_EQ(fourth.members->gossip()->heldSilent(), 1u);
   const auto before = received();
   EXPECT_EQ(ask(fourth, 30, 200), 30u);
   EXPECT_EQ(received()[0], before[0]);
@@ -299,7 +303,7 @@
   const auto usual = load(old, 1000);
   Node& fresh = node(known(false));
   ASSERT_TRUE(until([&] { return fresh.members->warmStart()->over(); }));
-  pass(milliseconds(60));
+  ASSERT_TRUE(drains(fresh, "s-6"));
   const auto first = load(fresh, 1000);
   settings.warmStart.enabled = false;
   settings.gossip.enabled = false;
--- a/tests/app/operator_file_test.cpp
+++ b/tests/app/operator_file_test.cpp
@@ -58,5 +58,28 @@
   }
 }
 
+TEST(OperatorFile, WhatMembershipNeedsIsSaid) {
+  const auto problems = [](const std::string& text) {
+    try {
+      readOperatorFile(text, "o.toml");
+    } catch (const OperatorFileError& bad) {
+      return bad.lines();
+    }
+    return std::vector<std::string>{};
+  };
+  EXPECT_TRUE(problems("[membership]\nenabled = true\ndoubt = '0s'\nflap_most = 8\n").empty());
+  const auto peers = problems("[membership]\nenabled = true\n[membership.gossip]\nenabled = true\n");
+  ASSERT_EQ(peers.size(), 1u);
+  EXPECT_NE(peers[0].find("gossip and warm_start need [peers]"), std::string::npos) << peers[0];
+  const auto late = problems("[membership]\nenabled = true\ndoubt = '500ms'\n");
+  ASSERT_EQ(late.size(), 1u);  // beyond the grace of the rule on drains
+  EXPECT_NE(late[0].find("o.toml:3: membership.doubt must be"), std::string::npos) << late[0];
+  const auto shortHold = problems("[membership.gossip]\nperiod = '1s'\nholds = '1s'\n");
+  ASSERT_EQ(shortHold.size(), 1u);
+  EXPECT_NE(shortHold[0].find("two periods at least"), std::string::npos) << shortHold[0];
+  EXPECT_EQ(problems("[membership.warm_start]\nask = 8\n").size(), 1u);  // of four tries
+  EXPECT_EQ(problems("[membership.warm_start]\nenabled = true\n").size(), 1u);
+}
+
 }  // namespace
 }  // namespace finchstile
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -264,14 +264,15 @@
     unsetenv("TMPDIR");
     unsetenv("LB_INHERITED_FD");
   }
-  std::unique_ptr<Process> launch(const tcp::endpoint& ops, const std::string& name) {
+  std::unique_ptr<Process> launch(const tcp::endpoint& ops, const std::string& name,
+                                  const std::vector<std::string>& arguments = {}) {
     json config = configJson(discovery.endpoint(), json::array({hostJson("s-0", hosts[0]->endpoint()),
                                                                 hostJson("s-1", hosts[1]->endpoint())}));
     config["listen"] = text(kept.local_endpoint());
     config["ops"] = text(ops);
     folder.write(name, config.dump());
     setenv("LB_CONFIG", (folder / name).c_str(), 1);
-    return std::make_unique<Process>(FINCHSTILE_PROGRAM, std::vector<std::string>{}, folder / (name + ".log"),
+    return std::make_unique<Process>(FINCHSTILE_PROGRAM, arguments, folder / (name + ".log"),
                                      kept.native_handle());
   }
   tcp::endpoint freePort() { return tcp::acceptor(io, loopback()).local_endpoint(); }
@@ -337,6 +338,40 @@
   EXPECT_TRUE(until([&] { return c->ended; }));
 }
 
+// What is known of hosts, by the operators' address and by the command; and without [membership], that it is
+// off.
+TEST_F(OperatedTest, WhatIsKnownOfHostsIsToldWithItsSources) {
+  const tcp::endpoint ops = freePort(), off = freePort();
+  const std::string file = folder.write("o.toml", "[membership]\nenabled = true\n");
+  program = launch(ops, "first", {"--operator", file});
+  ASSERT_TRUE(becomesReady(ops)) << program->logged();
+  ask(Client::connect(io, kept.local_endpoint()), 20);
+  const auto all = call(ops, "GET /api/hosts");
+  EXPECT_EQ(all.first, 200u);
+  EXPECT_EQ(all.second.substr(0, 16), "list version 1, ") << all.second;
+  EXPECT_NE(all.second.find("s-0 at=127.0.0.1:"), std::string::npos) << all.second;
+  EXPECT_NE(all.second.find("  own: answered "), std::string::npos) << all.second;
+  EXPECT_EQ(call(ops, "GET /api/hosts/s-9").first, 404u);
+  EXPECT_EQ(call(ops, "PUT /api/hosts").first, 405u);
+  EXPECT_NE(call(ops, "GET /api/telemetry").second.find("lb_lists_total{what=\"taken\"} "),
+            std::string::npos);
+  const auto command = [&](std::vector<std::string> arguments) {
+    auto p = std::make_unique<Process>(FINCHSTILE_PROGRAM, std::move(arguments), folder / "hosts.log");
+    EXPECT_TRUE(until([&] { return p->ended(); }));
+    return std::pair(p->wait(), p->logged());
+  };
+  const auto one = command({"hosts", "--ops", text(ops), "s-1"});
+  EXPECT_EQ(one.first, 0);
+  EXPECT_EQ(one.second.substr(0, 17), "s-1 at=127.0.0.1:") << one.second;
+  EXPECT_EQ(command({"hosts", "--ops", text(ops), "s-9"}).first, 3);
+  EXPECT_EQ(command({"hosts", "--ops", text(off)}).first, 1);
+  EXPECT_EQ(command({"hosts"}).first, 2);
+  next = launch(off, "second");
+  ASSERT_TRUE(becomesReady(off)) << next->logged();
+  EXPECT_EQ(call(off, "GET /api/hosts"),
+            std::pair(404u, std::string("needs [membership] in the operator's file\n")));
+}
+
 // Hard case: the next process dies before it is ready. The last one serves on, and the one after it finds it.
 TEST_F(OperatedTest, ANextProcessThatDiesLeavesTheLastOneAsItWas) {
   const tcp::endpoint ops = freePort();
--- a/tests/membership/facts_test.cpp
+++ b/tests/membership/facts_test.cpp
@@ -8,6 +8,8 @@
 #include <cmath>
 #include <functional>
 #include <random>
+#include <tuple>
+#include <vector>
 
 namespace finchstile::membership {
 namespace {
@@ -210,5 +212,79 @@
   }
 }
 
+// A reference that keeps all that was ever said and looks through it: whatever the order, the same phase in
+// force at any time; and a drain that a list has told is undone by a newer list or a new start only.
+TEST(Joins, TenThousandHistoriesAsAPlainReadingHasThem) {
+  struct News {
+    enum class Kind { list, peer } kind;
+    Phase phase;
+    std::uint64_t version;
+    Time observed;
+  };
+  const auto rankOf = [](Phase p) { return static_cast<int>(p); };
+  for (unsigned seed = 1; seed <= 10'000; ++seed) {
+    std::mt19937 dice(seed);
+    View v(limits());
+    v.onListed("a", seconds(1), Phase::in, 1, seconds(10));
+    std::vector<News> said = {{News::Kind::list, Phase::in, 1, seconds(10)}};
+    const std::size_t n = 2 + dice() % 10;
+    std::vector<News> news;
+    for (std::size_t i = 0; i < n; ++i)
+      news.push_back({dice() % 2 ? News::Kind::list : News::Kind::peer, static_cast<Phase>(dice() % 3),
+                      1 + dice() % 6, seconds(10 + dice() % 20)});
+    for (std::size_t i = 0; i < 3; ++i) news.push_back(news[dice() % n]);  // repeated
+    std::shuffle(news.begin(), news.end(), dice);
+    for (const News& x : news) {
+      said.push_back(x);
+      if (x.kind == News::Kind::list) v.onListed("a", seconds(1), x.phase, x.version, seconds(30));
+      else v.onPeerPhase("a", seconds(1), {x.phase, x.version, x.observed});
+
+      std::uint64_t version = 0;
+      for (const News& y : said)
+        if (y.kind == News::Kind::list) version = std::max(version, y.version);
+      Phase listed = Phase::in;
+      for (const News& y : said)
+        if (y.kind == News::Kind::list && y.version == version && rankOf(y.phase) > rankOf(listed))
+          listed = y.phase;
+      const News* heard = nullptr;
+      for (const News& y : said) {
+        if (y.kind != News::Kind::peer) continue;
+        const auto key = [&](const News& w) { return std::tuple(w.version, rankOf(w.phase), -w.observed); };
+        if (!heard || key(y) > key(*heard)) heard = &y;
+      }
+      const Time now = seconds(10 + dice() % 30);
+      Phase want = listed;
+      if (heard && heard->version > version && now - heard->observed < seconds(10) &&
+          rankOf(heard->phase) > rankOf(want))
+        want = heard->phase;
+      ASSERT_EQ(v.phase("a", now), want) << "seed " << seed;
+      ASSERT_GE(rankOf(v.phase("a", now)), rankOf(listed)) << "seed " << seed;
+    }
+  }
+}
+
+// Versions that begin anew: what stands stands, and any list of the new count is newer.
+TEST(Facts, ANewCountOfVersionsUndoesNothingByItself) {
+  View v(limits());
+  v.onListed("a", {}, Phase::draining, 700, seconds(10));
+  v.onListed("b", {}, Phase::in, 700, seconds(10));
+  v.onPeerPhase("b", {}, {Phase::out, 800, seconds(10)});
+  v.renumber();
+  EXPECT_EQ(v.phase("a", seconds(11)), Phase::draining);
+  EXPECT_EQ(v.phase("b", seconds(11)), Phase::in);  // another count's word
+  v.onListed("a", {}, Phase::in, 3, seconds(12));
+  EXPECT_EQ(v.phase("a", seconds(12)), Phase::in);
+}
+
+// A lie that is said again and again gets no younger.
+TEST(Facts, AWordThatIsRepeatedEndsAllTheSame) {
+  View v(limits());
+  v.onListed("a", {}, Phase::in, 7, seconds(10));
+  for (int s = 10; s < 40; ++s) {
+    v.onPeerPhase("a", {}, {Phase::out, 8, seconds(s)});
+    EXPECT_EQ(v.phase("a", seconds(s)), s < 20 ? Phase::out : Phase::in) << s;
+  }
+}
+
 }  // namespace
 }  // namespace finchstile::membership
