--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -121,8 +121,8 @@
   armTimer();
 }
 
-// Danger: what was taken late in a drain may have longer than this process; its client is owed an answer all the
-// same, and this one claims nothing.
+// Danger: what was taken late in a drain may have longer than this process; its client is owed an answer all
+// the same, and this one claims nothing.
 void Gateway::failOpen() {
   std::vector<RequestId> open;
   for (const auto& [id, r] : requests_)
