--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -58,18 +58,11 @@
 
 Gossip::Gossip(const GossipSettings& settings, std::uint64_t seed, Time now, AnsweredAt answeredAt)
     : settings_(settings),
-      state_(seed),
+      draw_(seed),
       answeredAt_(std::move(answeredAt)),
       credit_(settings.gateways, Credit{settings.credit, now, 0}),
       times_(static_cast<std::uint32_t>(std::ceil(settings.repeat * std::log2(settings.gateways + 1.0)))) {}
 
-std::uint64_t Gossip::draw() {  // splitmix64
-  std::uint64_t x = state_ += 0x9e3779b97f4a7c15ULL;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
 std::size_t Gossip::quorum() const {
   const std::size_t others = settings_.gateways > 0 ? settings_.gateways - 1u : 0;
   return std::max<std::size_t>(1, std::min(settings_.quorum, others));
@@ -302,7 +295,7 @@
   std::vector<GatewayNumber> to;
   const std::size_t others = settings_.gateways - 1u, want = std::min(settings_.fanout, others);
   while (to.size() < want) {
-    auto other = static_cast<GatewayNumber>(draw() % others);
+    auto other = static_cast<GatewayNumber>(draw_() % others);
     if (other >= settings_.own) ++other;
     if (std::find(to.begin(), to.end(), other) == to.end()) to.push_back(other);
   }
--- a/src/membership/gossip.hpp
+++ b/src/membership/gossip.hpp
@@ -22,6 +22,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/splitmix64.hpp"
 #include "ridgeshift/ridgeshift.hpp"
 
 namespace finchstile::membership {
@@ -158,10 +159,9 @@
   void tell(HostKey key, const Host& h, Rumour::What what);
   void renew(Credit& c, Time now) const;
   std::size_t quorum() const;
-  std::uint64_t draw();
 
   const GossipSettings settings_;
-  std::uint64_t state_;
+  SplitMix64 draw_;
   const AnsweredAt answeredAt_;
   std::unordered_map<HostKey, Host> hosts_;  // named by the list, or spoken of
   std::map<HostKey, Telling> telling_;
--- a/src/membership/warm_start.cpp
+++ b/src/membership/warm_start.cpp
@@ -26,27 +26,20 @@
 }  // namespace
 
 WarmStart::WarmStart(const WarmStartSettings& settings, std::uint64_t seed, Time now)
-    : settings_(settings), state_(seed), until_(now + settings.within) {
+    : settings_(settings), draw_(seed), until_(now + settings.within) {
   for (GatewayNumber n = 0; n < settings.gateways; ++n)
     if (n != settings.own) order_.push_back(n);
-  for (std::size_t i = order_.size(); i > 1; --i) std::swap(order_[i - 1], order_[draw() % i]);
+  for (std::size_t i = order_.size(); i > 1; --i) std::swap(order_[i - 1], order_[draw_() % i]);
   for (std::size_t i = 0; i < settings_.ask; ++i) askAnother(now);
   over_ = peers_.empty();
 }
 
-std::uint64_t WarmStart::draw() {  // splitmix64
-  std::uint64_t x = state_ += 0x9e3779b97f4a7c15ULL;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
 void WarmStart::askAnother(Time now) {
   if (next_ >= order_.size() || next_ >= settings_.tries) return;
   const GatewayNumber to = order_[next_++];
   Peer p;
   p.askedAt = p.lastAt = now;
-  p.nonce = draw();  // of this question alone: nobody can answer who was not asked
+  p.nonce = draw_();  // of this question alone: nobody can answer who was not asked
   outgoing_.push_back({to, encodeAsk(p.nonce)});
   peers_.emplace(to, std::move(p));
   ++counts_.asked;
--- a/src/membership/warm_start.hpp
+++ b/src/membership/warm_start.hpp
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/splitmix64.hpp"
 #include "membership/snapshot.hpp"
 
 namespace finchstile::membership {
@@ -85,10 +86,9 @@
   };
   double worthOf(const Peer& p) const;
   void askAnother(Time now);
-  std::uint64_t draw();
 
   const WarmStartSettings settings_;
-  std::uint64_t state_;
+  SplitMix64 draw_;
   const Time until_;
   std::vector<GatewayNumber> order_;  // in which peers are asked
   std::size_t next_ = 0, kept_ = 0;
