--- a/src/app/members.cpp
+++ b/src/app/members.cpp
@@ -16,8 +16,6 @@
 constexpr Duration kRefilterLeast = milliseconds(50);  // between looks at all hosts anew
 constexpr Duration kSnapshotPause = milliseconds(10);
 
-int rank(Phase p) { return p == Phase::in ? 0 : p == Phase::draining ? 1 : 2; }
-
 membership::List listOf(const HostList& from) {
   membership::List out;
   out.index = from.index;
@@ -141,18 +139,17 @@
   return out;
 }
 
-void Members::onLost() { policy_.onLost(clock_.now()); }
+void Members::onLost() { policy_.onLost(); }
 
 void Members::onMoved() {
-  policy_.onMoved(clock_.now());
+  policy_.onMoved();
   view_.renumber();
 }
 
 void Members::apply(ridgeshift::HostEntry& entry) const {
   const Time now = clock_.now();
   if (!view_.find(entry.address)) return;  // no place, or not named yet: nothing is known against it
-  if (const Phase known = view_.phase(entry.address, now); rank(known) > rank(entry.phase))
-    entry.phase = known;
+  entry.phase = membership::worse(entry.phase, view_.phase(entry.address, now));
   if (!gossip_ || entry.phase != Phase::in) return;
   const auto key = keys_.find(entry.address);
   if (key != keys_.end() && gossip_->silentByOthers(key->second, now)) entry.phase = Phase::draining;
@@ -171,7 +168,6 @@
   const auto* facts = view_.find(host);
   if (!facts) return;
   const Time now = clock_.now();
-  ++reports_;
   view_.onLoad(host, facts->started, {report, now, now});
 }
 
@@ -179,12 +175,18 @@
 
 void Members::fromPeer(peer::Number from, std::string_view payload) {
   const Time now = clock_.now();
-  if (settings_.warmStart.enabled && server_.receive(from, payload, now, [this] { return snapshot(); })) {
-  } else if (warm_ && warm_->receive(from, payload, now)) {
-    if (warm_->over()) endWarmStart();
-  } else if (settings_.gossip.enabled && !payload.empty() && payload[0] == 1) {
-    gossip_->receive(from, payload, now);
-    settle();
+  switch (payload.empty() ? 0 : payload.front()) {
+    case membership::kAskForm:
+      if (settings_.warmStart.enabled) server_.receive(from, payload, now, [this] { return snapshot(); });
+      break;
+    case membership::kChunkForm:
+      if (warm_ && warm_->receive(from, payload, now) && warm_->over()) endWarmStart();
+      break;
+    case membership::kRumoursForm:
+      if (!settings_.gossip.enabled) break;
+      gossip_->receive(from, payload, now);
+      settle();
+      break;
   }
   sendOut();
   arm();
@@ -198,11 +200,8 @@
   for (const Gateway::HostView& h : gateway_.hosts()) {
     const auto fact = factOf(h.listed.address);
     if (!fact || fact->phase == Phase::in) continue;
-    const HostKey key = keyOf(h.listed.address);
-    if (std::any_of(s.hosts.begin(), s.hosts.end(), [&](const auto& told) { return told.host == key; }))
-      continue;
     membership::ToldHost told;
-    told.host = key;
+    told.host = keyOf(h.listed.address);
     told.started = fact->started;
     told.phase = fact->phase;
     told.version = fact->version;
@@ -256,7 +255,7 @@
 }
 
 void Members::settle() {
-  for (const auto& [key, until] : gossip_->takeSilent()) {
+  for (const Time until : gossip_->takeSilent()) {
     until_.insert(until);
     changed_ = true;
   }
--- a/src/app/members.hpp
+++ b/src/app/members.hpp
@@ -80,7 +80,6 @@
   std::set<Time> until_;  // when what others said ends to hold
   std::uint64_t renumbered_ = 0;
   bool warmed_ = false, changed_ = false;
-  std::uint64_t reports_ = 0;
   Time gossipAt_{}, sweepAt_{}, refilteredAt_{}, armed_{};
   boost::asio::steady_timer timer_;
 };
--- a/src/membership/facts.cpp
+++ b/src/membership/facts.cpp
@@ -7,9 +7,6 @@
 namespace finchstile::membership {
 namespace {
 
-int rank(Phase p) { return p == Phase::in ? 0 : p == Phase::draining ? 1 : 2; }
-Phase worse(Phase a, Phase b) { return rank(a) >= rank(b) ? a : b; }
-
 // Not numbers are below all numbers, so that an order stands in any case.
 double orderOf(double v) { return std::isnan(v) ? -std::numeric_limits<double>::infinity() : v; }
 
@@ -49,7 +46,7 @@
 double confidence(Duration age, Duration half) {
   if (age <= Duration{}) return 1;
   if (half <= Duration{} || age >= 4 * half) return 0;
-  return std::exp2(-std::chrono::duration<double>(age) / std::chrono::duration<double>(half));
+  return std::exp2(-inSeconds(age) / inSeconds(half));
 }
 
 void View::onListed(std::string_view host, Incarnation started, Phase phase, std::uint64_t version,
--- a/src/membership/facts.hpp
+++ b/src/membership/facts.hpp
@@ -14,14 +14,10 @@
 #include <string>
 #include <string_view>
 
-#include "ridgeshift/ridgeshift.hpp"
+#include "membership/terms.hpp"
 
 namespace finchstile::membership {
 
-using ridgeshift::Duration;
-using ridgeshift::Phase;
-using ridgeshift::Time;
-
 // A host that has started anew is another process: nothing of the old one holds for it.
 using Incarnation = Time;  // when it last started; 0: long ago
 
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -8,14 +8,10 @@
 namespace finchstile::membership {
 namespace {
 
-constexpr std::uint8_t kForm = 1;
 constexpr Duration kAgeUnit = std::chrono::milliseconds(10);
 constexpr std::size_t kVotesOver = 3;  // kept beyond the quorum, so that one that ages leaves it standing
 
 Phase phaseOf(Rumour::What w) { return w == Rumour::What::draining ? Phase::draining : Phase::out; }
-int rank(Phase p) { return p == Phase::in ? 0 : p == Phase::draining ? 1 : 2; }
-
-double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
 }  // namespace
 
@@ -23,7 +19,7 @@
   if (rumours.empty() || rumours.size() > kRumoursMost) return std::nullopt;
   std::string out;
   out.reserve(2 + rumours.size() * kRumourBytes);
-  putLittleEndian(out, kForm);
+  putLittleEndian(out, kRumoursForm);
   putLittleEndian(out, static_cast<std::uint8_t>(rumours.size()));
   for (const Rumour& r : rumours) {
     putLittleEndian(out, r.host);
@@ -38,7 +34,7 @@
 }
 
 std::optional<std::vector<Rumour>> decodeRumours(std::string_view p) {
-  if (p.size() < 2 || static_cast<std::uint8_t>(p[0]) != kForm) return std::nullopt;
+  if (p.size() < 2 || static_cast<std::uint8_t>(p[0]) != kRumoursForm) return std::nullopt;
   const std::size_t n = static_cast<std::uint8_t>(p[1]);
   if (n == 0 || n > kRumoursMost || p.size() != 2 + n * kRumourBytes) return std::nullopt;
   std::vector<Rumour> out(n);
@@ -111,7 +107,7 @@
   }
   Host& h = it->second;
   if (h.known && h.started != started) {  // another process: nothing of the old one holds
-    dropClaim(key, h, true, now);
+    dropClaim(h, true, now);
     h.votes.clear();
     h.seenSilent = {};
     telling_.erase(key);
@@ -123,8 +119,8 @@
   h.phase = phase;
   h.version = version;
   // Danger: a list that has not come as far says nothing of a claim.
-  if (h.claim && version >= h.claim->version) dropClaim(key, h, rank(phase) >= rank(h.claim->phase), now);
-  else if (h.claim && rank(phase) >= rank(h.claim->phase)) dropClaim(key, h, true, now);
+  if (h.claim && version >= h.claim->version) dropClaim(h, rank(phase) >= rank(h.claim->phase), now);
+  else if (h.claim && rank(phase) >= rank(h.claim->phase)) dropClaim(h, true, now);
   if (phase != Phase::in && phase != before)
     tell(key, h, phase == Phase::draining ? Rumour::What::draining : Rumour::What::out);
   else if (phase == Phase::in && before != Phase::in) telling_.erase(key);
@@ -142,7 +138,7 @@
 }
 
 void Gossip::renew(Credit& c, Time now) const {
-  const double back = seconds(now - c.at) / std::max(seconds(settings_.creditEach), 1e-3);
+  const double back = inSeconds(now - c.at) / std::max(inSeconds(settings_.creditEach), 1e-3);
   c.left = std::min(settings_.credit, c.left + back);
   c.at = now;
 }
@@ -200,7 +196,7 @@
   } else {
     held_.emplace(key, since + settings_.holds);
   }
-  silent_.emplace_back(key, held_[key]);
+  silent_.push_back(held_[key]);
   if (before) return;
   ++counts_.convinced;
   tell(key, h, Rumour::What::silent);
@@ -238,7 +234,7 @@
   accepted_.push_back({key, h.started, phase, r.version, now});
 }
 
-void Gossip::dropClaim(HostKey, Host& h, bool borne, Time now) {
+void Gossip::dropClaim(Host& h, bool borne, Time now) {
   if (!h.claim) return;
   Credit& c = credit_[h.claim->from];
   --c.keepsOut;
@@ -256,7 +252,7 @@
     due_.pop_front();
     const auto it = hosts_.find(key);
     if (it != hosts_.end() && it->second.claim && now - it->second.claim->since >= settings_.phaseHolds)
-      dropClaim(key, it->second, false, now);
+      dropClaim(it->second, false, now);
   }
   std::erase_if(held_, [&](const auto& h) { return h.second <= now || !silentByOthers(h.first, now); });
   std::vector<Outgoing> out;
--- a/src/membership/gossip.hpp
+++ b/src/membership/gossip.hpp
@@ -23,14 +23,10 @@
 #include <vector>
 
 #include "base/splitmix64.hpp"
-#include "ridgeshift/ridgeshift.hpp"
+#include "membership/terms.hpp"
 
 namespace finchstile::membership {
 
-using ridgeshift::Duration;
-using ridgeshift::Phase;
-using ridgeshift::Time;
-
 using HostKey = std::uint64_t;  // hash of a host's name, the same at all gateways
 using GatewayNumber = std::uint16_t;
 
@@ -47,6 +43,7 @@
 
 // Form: u8 1, u8 count, then for each: u64 host, u64 started, u8 what, u64 version, u16 age in hundredths of
 // a second; integers little-endian.
+inline constexpr std::uint8_t kRumoursForm = 1;
 inline constexpr std::size_t kRumourBytes = 27;
 inline constexpr std::size_t kRumoursMost = 8;  // 218 bytes, what a datagram between gateways has room for
 inline constexpr Duration kAgeMost = std::chrono::milliseconds(655'350);
@@ -112,8 +109,8 @@
 
   // Others are enough to hold it silent, and it has not answered us since.
   bool silentByOthers(HostKey host, Time now) const;
-  // Hosts that others have convinced us of since this was called last, and until when that holds.
-  std::vector<std::pair<HostKey, Time>> takeSilent() { return std::exchange(silent_, {}); }
+  // Of each host that others have convinced us of since this was called last: until when that holds.
+  std::vector<Time> takeSilent() { return std::exchange(silent_, {}); }
   std::vector<Accepted> takeAccepted() { return std::exchange(accepted_, {}); }
 
   bool heard(GatewayNumber from) const { return from < credit_.size() && credit_[from].left >= 1; }
@@ -155,7 +152,7 @@
   Time convincedSince(const Host& h, Time now) const;
   void vote(HostKey key, Host& h, GatewayNumber from, Time seen, Time now);
   void claimed(HostKey key, Host& h, GatewayNumber from, const Rumour& r, Time now);
-  void dropClaim(HostKey key, Host& h, bool borne, Time now);
+  void dropClaim(Host& h, bool borne, Time now);
   void tell(HostKey key, const Host& h, Rumour::What what);
   void renew(Credit& c, Time now) const;
   std::size_t quorum() const;
@@ -168,7 +165,7 @@
   std::deque<std::pair<Time, HostKey>> due_;  // claims, by when they lapse
   std::vector<Credit> credit_;                // by gateway
   std::unordered_map<HostKey, Time> held_;    // silent by others: until when
-  std::vector<std::pair<HostKey, Time>> silent_;
+  std::vector<Time> silent_;
   std::vector<Accepted> accepted_;
   std::size_t listed_ = 0;
   std::uint32_t times_ = 0;
--- a/src/membership/list_policy.cpp
+++ b/src/membership/list_policy.cpp
@@ -6,12 +6,8 @@
 namespace finchstile::membership {
 namespace {
 
-int rank(Phase p) { return p == Phase::in ? 0 : p == Phase::draining ? 1 : 2; }
-
 constexpr int kFlapHalves = 4;  // after which a host that has gone once is forgotten
 
-double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 }  // namespace
 
 void ListPolicy::start(const List& known, Time now) {
@@ -28,8 +24,7 @@
     if (fresh) continue;
     Named& first = hosts[it->second];
     const Named& other = hosts[i];
-    const Phase worse =
-        rank(first.entry.phase) >= rank(other.entry.phase) ? first.entry.phase : other.entry.phase;
+    const Phase phase = worse(first.entry.phase, other.entry.phase);
     if (other.entry.upSince > first.entry.upSince) {
       first.at = other.at;
       first.entry.upSince = other.entry.upSince;
@@ -37,7 +32,7 @@
       first.entry.kind = other.entry.kind;
       first.entry.cell = other.entry.cell;
     }
-    first.entry.phase = worse;
+    first.entry.phase = phase;
     again.push_back(i);
     ++counts_.twice;
   }
@@ -178,7 +173,7 @@
 }
 
 double ListPolicy::flapsNow(const Host& h, Time now) const {
-  return h.flaps * std::exp2(-seconds(now - h.flapsAt) / std::max(seconds(settings_.flapHalf), 1e-3));
+  return h.flaps * std::exp2(-inSeconds(now - h.flapsAt) / std::max(inSeconds(settings_.flapHalf), 1e-3));
 }
 
 Time ListPolicy::freeAt(const Host& h) const {
@@ -191,24 +186,16 @@
 // gets nothing new until a list says something else of it.
 void ListPolicy::claim(const std::string& name, Host& h, std::vector<Named>& changed) {
   std::string& owner = byAddress_[h.at];
-  if (owner.empty() || owner == name) {
-    owner = name;
-    h.displaced = false;
-    return;
-  }
-  const auto other = hosts_.find(owner);
-  if (other == hosts_.end() || other->second.listed.phase != Phase::in || other->second.at != h.at) {
-    owner = name;
-    h.displaced = false;
-    return;
+  const auto other = owner == name ? hosts_.end() : hosts_.find(owner);
+  if (other != hosts_.end() && other->second.listed.phase == Phase::in && other->second.at == h.at) {
+    const bool later = h.listed.upSince >= other->second.listed.upSince;
+    Host& loser = later ? other->second : h;
+    if (!std::exchange(loser.displaced, true)) ++counts_.shared;
+    if (!later) return;
+    changed.push_back(told(loser));
   }
-  Host& loser = h.listed.upSince >= other->second.listed.upSince ? other->second : h;
-  if (&loser != &h) {
-    owner = name;
-    h.displaced = false;
-  }
-  if (!std::exchange(loser.displaced, true)) ++counts_.shared;
-  if (&loser != &h) changed.push_back(told(loser));
+  owner = name;
+  h.displaced = false;
 }
 
 void ListPolicy::release(const std::string& name, const Host& h) {
@@ -267,9 +254,7 @@
   return at;
 }
 
-void ListPolicy::onLost(Time) { ++counts_.lost; }
-
-void ListPolicy::onMoved(Time) {
+void ListPolicy::onMoved() {
   version_ = -1;
   olderSince_ = Time{};
 }
--- a/src/membership/list_policy.hpp
+++ b/src/membership/list_policy.hpp
@@ -17,14 +17,11 @@
 #include <utility>
 #include <vector>
 
-#include "ridgeshift/ridgeshift.hpp"
+#include "membership/terms.hpp"
 
 namespace finchstile::membership {
 
-using ridgeshift::Duration;
 using ridgeshift::HostEntry;
-using ridgeshift::Phase;
-using ridgeshift::Time;
 
 struct Named {
   HostEntry entry;  // `entry.address`: its name
@@ -81,8 +78,8 @@
   Told onList(List&& list, Time now, const Answers& answers);
   Told onWake(Time now);  // at or after `wake`
   std::optional<Time> wake() const;
-  void onLost(Time now);   // the watch has ended: the list stands
-  void onMoved(Time now);  // another discovery: its versions have nothing to do with those of before
+  void onLost() { ++counts_.lost; }  // the watch has ended: the list stands
+  void onMoved();  // another discovery: its versions have nothing to do with those of before
 
   const ListCounts& counts() const { return counts_; }
   std::int64_t version() const { return version_; }
--- a/src/membership/snapshot.cpp
+++ b/src/membership/snapshot.cpp
@@ -75,8 +75,8 @@
 Snapshot snapshotOf(const ridgeshift::Learned& l, const std::function<NameKey(std::string_view)>& key,
                     const std::function<std::optional<ListedFact>(const std::string&)>& listed) {
   Snapshot s;
-  s.self = Snapshot::Self{l.age,     l.arrivalRate, l.arrivalSweeps, l.answers,    l.fastRate,
-                          l.meanAim, l.meanWork,    l.calmHeld,      l.servedShare};
+  s.self.emplace().age = l.age;
+  for (std::size_t i = 0; i < kSelfFigures.size(); ++i) (*s.self).*kSelfFigures[i] = l.*kLearnedFigures[i];
   for (const auto& c : l.classes)
     s.classes.push_back({key(c.name), c.norm, c.meanCost, c.lateSeen, c.usualLeft});
   for (const auto& k : l.kinds) s.kinds.push_back({key(k.name), k.proven, k.pace});
@@ -109,9 +109,7 @@
     putLittleEndian(r, kSelf);
     const auto ms = std::clamp<std::int64_t>(s.self->age / std::chrono::milliseconds(1), 0, UINT32_MAX);
     putLittleEndian(r, static_cast<std::uint32_t>(ms));
-    for (const double v : {s.self->arrivalRate, s.self->arrivalSweeps, s.self->answers, s.self->fastRate,
-                           s.self->meanAim, s.self->meanWork, s.self->calmHeld, s.self->servedShare})
-      putFigure(r, v);
+    for (const auto figure : kSelfFigures) putFigure(r, (*s.self).*figure);
     records.push_back(std::move(r));
   }
   for (const auto& c : s.classes) {
@@ -176,9 +174,7 @@
       case kSelf: {
         Snapshot::Self s;
         s.age = std::chrono::milliseconds(in.integer<std::uint32_t>());
-        for (double* v : {&s.arrivalRate, &s.arrivalSweeps, &s.answers, &s.fastRate, &s.meanAim, &s.meanWork,
-                          &s.calmHeld, &s.servedShare})
-          *v = in.figure();
+        for (const auto figure : kSelfFigures) s.*figure = in.figure();
         c.part.self = s;
         break;
       }
--- a/src/membership/snapshot.hpp
+++ b/src/membership/snapshot.hpp
@@ -14,6 +14,7 @@
 //         hundredths of a second, f32 pace, fails, rate, u16 ejected for so many hundredths, u8 ejections
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -65,6 +66,17 @@
   std::vector<ToldHost> hosts;
 };
 
+// The figures of `Snapshot::Self`, in the order in which they go, and those of `Learned` that they are.
+inline constexpr std::array kSelfFigures = {&Snapshot::Self::arrivalRate, &Snapshot::Self::arrivalSweeps,
+                                            &Snapshot::Self::answers,     &Snapshot::Self::fastRate,
+                                            &Snapshot::Self::meanAim,     &Snapshot::Self::meanWork,
+                                            &Snapshot::Self::calmHeld,    &Snapshot::Self::servedShare};
+inline constexpr std::array kLearnedFigures = {
+    &ridgeshift::Learned::arrivalRate, &ridgeshift::Learned::arrivalSweeps, &ridgeshift::Learned::answers,
+    &ridgeshift::Learned::fastRate,    &ridgeshift::Learned::meanAim,       &ridgeshift::Learned::meanWork,
+    &ridgeshift::Learned::calmHeld,    &ridgeshift::Learned::servedShare};
+static_assert(kSelfFigures.size() == kLearnedFigures.size());
+
 // The list's side of a host, which the module does not tell.
 struct ListedFact {
   std::int64_t started = 0;
--- a/src/membership/warm_start.cpp
+++ b/src/membership/warm_start.cpp
@@ -10,7 +10,9 @@
 
 constexpr double kLeastWorth = 0.2;  // of all that peers say together; less is a guess too
 
-double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+Duration durationOf(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
 
 // A mean of what several say, each with its weight.
 class Mean {
@@ -38,7 +40,7 @@
   if (next_ >= order_.size() || next_ >= settings_.tries) return;
   const GatewayNumber to = order_[next_++];
   Peer p;
-  p.askedAt = p.lastAt = now;
+  p.lastAt = now;
   p.nonce = draw_();  // of this question alone: nobody can answer who was not asked
   outgoing_.push_back({to, encodeAsk(p.nonce)});
   peers_.emplace(to, std::move(p));
@@ -74,6 +76,7 @@
   to.levels.insert(to.levels.end(), part.levels.begin(), part.levels.end());
   for (const ToldHost& h : part.hosts) {
     if (kept_ >= settings_.hosts) break;
+    if (!p.at.emplace(h.host, to.hosts.size()).second) continue;  // one word on each host
     to.hosts.push_back(h);
     ++kept_;
   }
@@ -110,17 +113,18 @@
 // One that has just started itself knows next to nothing, and says how long it has run.
 double WarmStart::worthOf(const Peer& p) const {
   if (!p.told.self || p.told.self->age < settings_.young) return 0;
-  return std::min(1.0, seconds(p.told.self->age) / seconds(settings_.full));
+  return std::min(1.0, inSeconds(p.told.self->age) / inSeconds(settings_.full));
 }
 
 std::vector<WarmStart::Said> WarmStart::said(HostKey host, Time now) const {
   std::vector<Said> out;
-  for (const auto& [number, p] : peers_)
-    for (const ToldHost& h : p.told.hosts) {
-      if (h.host != host) continue;
-      const Duration age = h.age + (now - p.toldAt);
-      out.push_back({number, h, age, worthOf(p) * confidence(age, settings_.half)});
-    }
+  for (const auto& [number, p] : peers_) {
+    const auto it = p.at.find(host);
+    if (it == p.at.end()) continue;
+    const ToldHost& h = p.told.hosts[it->second];
+    const Duration age = h.age + (now - p.toldAt);
+    out.push_back({number, h, age, worthOf(p) * confidence(age, settings_.half)});
+  }
   return out;
 }
 
@@ -135,32 +139,18 @@
 std::optional<ridgeshift::Learned> WarmStart::learned(const Names& names, Time now) const {
   ridgeshift::Learned out;
   double worth = 0;
-  Mean age, arrivalRate, arrivalSweeps, answers, fastRate, meanAim, meanWork, calmHeld, servedShare;
+  Mean age;
+  std::array<Mean, kSelfFigures.size()> figures;
   for (const auto& [number, p] : peers_) {
     const double w = worthOf(p);
     if (w <= 0) continue;
     worth += w;
-    const Snapshot::Self& s = *p.told.self;
-    age.add(seconds(s.age), w);
-    arrivalRate.add(s.arrivalRate, w);
-    arrivalSweeps.add(s.arrivalSweeps, w);
-    answers.add(s.answers, w);
-    fastRate.add(s.fastRate, w);
-    meanAim.add(s.meanAim, w);
-    meanWork.add(s.meanWork, w);
-    calmHeld.add(s.calmHeld, w);
-    servedShare.add(s.servedShare, w);
+    age.add(inSeconds(p.told.self->age), w);
+    for (std::size_t i = 0; i < figures.size(); ++i) figures[i].add((*p.told.self).*kSelfFigures[i], w);
   }
   if (worth < kLeastWorth) return std::nullopt;
-  out.age = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(age.value(0)));
-  out.arrivalRate = arrivalRate.value(0);
-  out.arrivalSweeps = arrivalSweeps.value(0);
-  out.answers = answers.value(0);
-  out.fastRate = fastRate.value(0);
-  out.meanAim = meanAim.value(0);
-  out.meanWork = meanWork.value(0);
-  out.calmHeld = calmHeld.value(0);
-  out.servedShare = servedShare.value(0);
+  out.age = durationOf(age.value(0));
+  for (std::size_t i = 0; i < figures.size(); ++i) out.*kLearnedFigures[i] = figures[i].value(0);
 
   for (const auto& [key, name] : names.classes) {
     Mean norm, cost, late, left;
@@ -169,12 +159,10 @@
         const double w = worthOf(p);
         if (c.key != key || c.norm <= 0 || w <= 0) continue;  // nothing of it was answered there
         norm.add(c.norm, w), cost.add(c.meanCost, w), late.add(c.lateSeen, w),
-            left.add(seconds(c.usualLeft), w);
+            left.add(inSeconds(c.usualLeft), w);
       }
     if (norm.weight() <= 0) continue;
-    out.classes.push_back(
-        {name, norm.value(0), cost.value(0), late.value(0),
-         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(left.value(0)))});
+    out.classes.push_back({name, norm.value(0), cost.value(0), late.value(0), durationOf(left.value(0))});
   }
   for (const auto& [key, name] : names.kinds) {
     Mean proven, pace;
--- a/src/membership/warm_start.hpp
+++ b/src/membership/warm_start.hpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -75,11 +76,12 @@
 
  private:
   struct Peer {
-    Time askedAt{}, lastAt{};
+    Time lastAt{};  // when it last said something, or was asked
     std::uint64_t nonce = 0;
     std::size_t of = 0;
     std::set<std::uint16_t> have;
     Snapshot told;
+    std::unordered_map<HostKey, std::size_t> at;  // places in `told.hosts`
     Time toldAt{};
     bool silent = false;
     bool complete() const { return of > 0 && have.size() == of; }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -590,37 +590,36 @@
 
 // What an attempt shows of its host beside what the module makes of it. `byLimit`: its time was up. Danger:
 // one that never had a connection for want of our own descriptors says nothing of the host.
-void Gateway::observe(HostId host, Outcome outcome, Time sent, bool byLimit) {
-  const auto h = hosts_.find(host);
-  if (h == hosts_.end()) return;
+void Gateway::observe(HostRecord& host, Outcome outcome, Time sent, bool byLimit) {
   switch (outcome) {
     case Outcome::served:
     case Outcome::error:
     case Outcome::full:
-    case Outcome::rejected: h->second.heard = clock_.now(); return;
+    case Outcome::rejected: host.heard = clock_.now(); return;
     case Outcome::timeout: break;
     case Outcome::connectFailed:
       if (byLimit) return;
       break;
     default: return;
   }
-  if (observer_ && h->second.heard < sent) observer_->onSilent(h->second.listed.address);
+  if (observer_ && host.heard < sent) observer_->onSilent(host.listed.address);
 }
 
 void Gateway::onOutcome(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
-  if (const auto a = attempts_.find(id); a != attempts_.end())
-    observe(a->second.host, outcome, a->second.sent, false);
   settle(id, outcome, std::move(upstream));
   carryOut();
 }
 
 // Tells the module how an attempt ended; what was served goes to the client first.
-void Gateway::settle(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream, std::optional<Parted> parted) {
+void Gateway::settle(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream, std::optional<Parted> parted,
+                     bool byLimit) {
   const auto it = attempts_.find(id);
   if (it == attempts_.end()) return;
   const AttemptRecord a = it->second;
   attempts_.erase(it);
   limits_.erase({a.limit, id});
+  const auto host = hosts_.find(a.host);
+  if (host != hosts_.end()) observe(host->second, outcome, a.sent, byLimit);
   const auto r = requests_.find(a.request);
   if (r == requests_.end()) return;
   --r->second.out;
@@ -635,7 +634,6 @@
   if (const auto told = upstream.head["X-Backend-Load"]; !told.empty()) {
     result.report = membership::readReport(view(told));
     ++(result.report ? reports_ : spoiltReports_);
-    const auto host = hosts_.find(a.host);
     if (observer_ && result.report && host != hosts_.end())
       observer_->onReport(host->second.listed.address, *result.report);
   }
@@ -710,18 +708,19 @@
   balancer_.onHosts(clock_.now(), kind, entries);
   std::vector<HostId> named;
   std::vector<std::pair<HostId, Phase>> changed;
-  for (const ListedHost& h : list.hosts) {
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
+    const ListedHost& h = list.hosts[i];
+    const Phase phase = entries[i].phase;
     const HostId id = balancer_.findHost(h.entry.address);
     if (id == kNone) continue;
     HostRecord& record = hosts_[id];
     const bool fresh = record.endpoint == tcp::endpoint{};
-    if (const Phase phase = inForce(h.entry).phase; fresh || record.phase != phase)
-      changed.emplace_back(id, phase);
+    if (fresh || record.phase != phase) changed.emplace_back(id, phase);
     // Danger: connections to an old address would be taken for ones to the new.
     if (record.endpoint != h.endpoint) pool_.setOpen(id, false);
     // Another process at this name has shown no life yet.
     const Time heard = !fresh && record.listed.upSince == h.entry.upSince ? record.heard : Time{};
-    record = {h.endpoint, inForce(h.entry).phase, h.entry, h.entry.zone, h.entry.cell, heard};
+    record = {h.endpoint, phase, h.entry, h.entry.zone, h.entry.cell, heard};
     named.push_back(id);
   }
   std::sort(named.begin(), named.end());
@@ -890,10 +889,7 @@
   while (!limits_.empty() && limits_.begin()->first <= now) {
     const AttemptId id = limits_.begin()->second;
     const bool began = pool_.giveUp(id);
-    const Outcome outcome = began ? Outcome::timeout : Outcome::connectFailed;
-    if (const auto a = attempts_.find(id); a != attempts_.end())
-      observe(a->second.host, outcome, a->second.sent, true);
-    settle(id, outcome, {});
+    settle(id, began ? Outcome::timeout : Outcome::connectFailed, {}, {}, true);
   }
   failHeld(now);
   if (wake_ != Time{} && wake_ <= now) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -164,7 +164,7 @@
 
   Duration lagNow() const;
   bool answerOwnPaths(ClientSession& session, const ClientRequest& message);
-  void observe(ridgeshift::HostId host, ridgeshift::Outcome outcome, Time sent, bool byLimit);
+  void observe(HostRecord& host, ridgeshift::Outcome outcome, Time sent, bool byLimit);
   void learnHosts(const HostList& list, ridgeshift::ListKind kind);
   ridgeshift::HostEntry inForce(const ridgeshift::HostEntry& listed) const;
   void count(const RequestRecord& record, boost::beast::http::status status);
@@ -186,7 +186,7 @@
   void failHeld(Time now);
   void failOpen();
   void settle(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer,
-              std::optional<Parted> parted = {});
+              std::optional<Parted> parted = {}, bool byLimit = false);
   void endRelay(RelayId relay);
   void releaseIfOver(ridgeshift::RequestId request);
   void forgetHosts();
@@ -209,7 +209,7 @@
   boost::asio::steady_timer timer_;
   Time armed_{}, wake_{}, housekeepAt_{}, closeListenerAt_{}, exitAt_{};
   Time acceptUntil_{}, serveUntil_{};  // of a drain
-  Duration lag_{};  // how late the loop has lately been, for what is read until
+  Duration lag_{};                     // how late the loop has lately been, for what is read until
   Time lagUntil_{};
 
   RequestReader reader_;
--- a/src/policy/reports.cpp
+++ b/src/policy/reports.cpp
@@ -56,6 +56,7 @@
   if (!h.any) return 1;
   double sum = 0;
   for (std::size_t i = 0; i < h.apart.size(); ++i) sum += fits_[h.band][i].slope * h.apart[i];
+  if (sum == 0) return 1;  // the ordinary case, and asked for each candidate of each pick
   return std::clamp(std::exp(sum), 1 / kFactorMost, kFactorMost);
 }
 
--- a/tests/membership/list_policy_test.cpp
+++ b/tests/membership/list_policy_test.cpp
@@ -194,7 +194,7 @@
 TEST(ListPolicy, OfAnotherDiscoveryTheVersionsBeginAnew) {
   Follower f;
   f.list(whole(700, many(4)));
-  f.policy.onMoved(f.now);
+  f.policy.onMoved();
   f.list(whole(1, many(4, 1)));
   EXPECT_EQ(f.of("h0"), Phase::out);
   EXPECT_EQ(f.policy.counts().older, 0u);
@@ -321,7 +321,7 @@
   Follower f;
   f.list(whole(1, many(3)));
   for (int i = 0; i < 3600; ++i) {
-    f.policy.onLost(f.now);
+    f.policy.onLost();
     f.pass(seconds(1));
   }
   EXPECT_EQ(f.of("h2"), Phase::in);
