A late answer of the process before says nothing of the host's new one

An answer to what went out before a host moved and started anew was noted as the load of the new process, in the module and in the view. The lines: the report in Impl::judge, and the observer's in Gateway::settle.

A report counts if its attempt went out at or after the host's start. Two tests, each of which fails without its line; two more for hard cases that had none by name: clocks that are off by minutes, and halves of gateways that do not hear one another.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -634,7 +634,7 @@
   if (const auto told = upstream.head["X-Backend-Load"]; !told.empty()) {
     result.report = membership::readReport(view(told));
     ++(result.report ? reports_ : spoiltReports_);
-    if (observer_ && result.report && host != hosts_.end())
+    if (observer_ && result.report && host != hosts_.end() && a.sent >= host->second.listed.upSince)
       observer_->onReport(host->second.listed.address, *result.report);
   }
   if (Exchange* const x = r->second.exchange.get()) {
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -140,7 +140,8 @@
   void judge(const Try& t, const Open& r, const AttemptResult& a) {
     ClassState& c = classes[r.cls];
     Host& h = hosts[t.host];
-    if (a.report) reports.heard(h.reported, *a.report, now);
+    // What went out before the host's start was answered by another process, whose load is none of its.
+    if (a.report && t.at >= h.entry.upSince) reports.heard(h.reported, *a.report, now);
     if (r.stream) return judgeStream(h, a.outcome);
     const double taken = std::max(toSeconds(a.taken), 1e-6);  // zero would make every ratio meaningless
     if (a.outcome == Outcome::served && c.norm <= 0) c.norm = taken / r.cost;
--- a/tests/membership/gossip_test.cpp
+++ b/tests/membership/gossip_test.cpp
@@ -284,6 +284,42 @@
   EXPECT_EQ(g.gossip->counts().malformed, 3u);
 }
 
+// Hard case: a clock that is off by minutes, either way. Ages are told and not times.
+TEST(Gossip, ClocksNeedNotAgree) {
+  for (const Duration off : {Duration(minutes(5)), Duration(-minutes(1))}) {
+    One teller([](GossipSettings&s) { s.own = 1; }), hearer;
+    teller.now += off;
+    teller.gossip->onSilent(3, 0, teller.now);
+    teller.now += milliseconds(500);
+    const auto told = teller.tells();
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_EQ(told[0].age, Duration(milliseconds(500)));
+    hearer.hears(1, told);
+    hearer.hears(2, told);
+    EXPECT_TRUE(hearer.gossip->silentByOthers(3, hearer.now));
+    EXPECT_FALSE(hearer.gossip->silentByOthers(3, hearer.now + seconds(3)));
+  }
+}
+
+// Hard case: a partition. Each half goes by itself, and neither holds anything against what answers it.
+TEST(Gossip, HalvesThatDoNotHearOneAnotherGoEachByItself) {
+  std::vector<std::unique_ptr<One>> all;
+  for (GatewayNumber i = 0; i < 6; ++i)
+    all.push_back(std::make_unique<One>([&](GossipSettings& s) { s.own = i, s.gateways = 6; }));
+  for (GatewayNumber i = 0; i < 3; ++i) all[i]->gossip->onSilent(3, 0, all[i]->now);
+  for (int round = 0; round < 5; ++round)
+    for (GatewayNumber from = 0; from < 6; ++from) {
+      if (from >= 3) all[from]->answered[3] = all[from]->now;
+      for (const auto& o : all[from]->gossip->tick(all[from]->now))
+        if ((from < 3) == (o.to < 3)) all[o.to]->gossip->receive(from, o.payload, all[o.to]->now);
+      all[from]->now += milliseconds(200);
+    }
+  for (GatewayNumber i = 0; i < 6; ++i) EXPECT_EQ(all[i]->gossip->silentByOthers(3, all[i]->now), i < 3) << i;
+  // Healed: what the others say is older than what was answered here.
+  for (GatewayNumber from = 0; from < 3; ++from) all[5]->hears(from, {silent(3, milliseconds(300))});
+  EXPECT_FALSE(all[5]->gossip->silentByOthers(3, all[5]->now));
+}
+
 // Votes in any order, repeated and late: the same conviction, as a reference that keeps everything has it.
 TEST(Gossip, AnyOrderOfVotesConvincesAlike) {
   for (unsigned seed = 1; seed <= 2000; ++seed) {
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -82,6 +82,49 @@
   EXPECT_EQ(gateway->figures().spoiltReports, 3u);
 }
 
+struct Ear : HostObserver {
+  std::vector<std::string> silent;
+  std::vector<double> queues;
+  void onSilent(const std::string& host) override { silent.push_back(host); }
+  void onReport(const std::string&, const ridgeshift::LoadReport& r) override { queues.push_back(r.queue); }
+};
+
+// Hard case: a report of one worker carried by another's address. The host has moved and started anew while
+// an answer of its old process was on its way.
+TEST_F(OperationsTest, AReportOfTheProcessBeforeIsNotTheNewOnes) {
+  host(hold);
+  host(serveOk);
+  const json all = listed();
+  hosts[1]->handler = [](const auto& peer, const Received&) {
+    peer->reply(200, "new", "X-Backend-Load: queue=2\r\n");
+  };
+  json config = configJson(discovery.endpoint(), json::array({all[0]}));
+  gateway = std::make_unique<Gateway>(io, clock, readConfig(config.dump(), clock));
+  Ear ear;
+  gateway->setHostObserver(ear);
+  gateway->start();
+  const auto c = client();
+  c->ask("GET", "/read", 2900);
+  ASSERT_TRUE(until([&] { return hosts[0]->received.size() == 1 && !calls.empty(); }));
+  const auto now =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count() +
+      1;
+  ASSERT_TRUE(until([&] { return std::chrono::system_clock::now().time_since_epoch() > milliseconds(now); }));
+  const auto call = calls.back();
+  calls.clear();
+  call->reply(200,
+              listJson(2, false, json::array({hostJson("s-0", hosts[1]->endpoint(), "active", now)})).dump());
+  ASSERT_TRUE(until([&] { return !calls.empty(); }));
+  hosts[0]->peers[0]->reply(200, "old", "X-Backend-Load: queue=70\r\n");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].body(), "old");
+  c->ask("GET", "/read", 2900);
+  ASSERT_TRUE(until([&] { return c->answers.size() == 2; }));
+  EXPECT_EQ(c->answers[1].body(), "new");
+  EXPECT_EQ(ear.queues, std::vector<double>{2});
+  EXPECT_TRUE(ear.silent.empty());
+}
+
 struct Out : HostFilter {
   std::set<std::string> names;
   void apply(ridgeshift::HostEntry& e) const override {
--- a/tests/policy/reports_test.cpp
+++ b/tests/policy/reports_test.cpp
@@ -210,6 +210,44 @@
   for (std::size_t i = 0; i < told.sent.size(); ++i) ASSERT_EQ(told.sent[i].host, untold.sent[i].host);
 }
 
+// Hard case: a report of one worker carried by another's address: the answer to what went out before the
+// host's start is the old process's. Reports are believed here, and the new process is judged by its own from
+// the first.
+TEST(Reports, ALateAnswerOfTheProcessBeforeSaysNothingOfTheNewOne) {
+  Settings settings = makeSettings();
+  settings.coldTime = {};
+  Driver told(settings, 2), untold(settings, 2);
+  const auto answer = [](Driver& d, const Sent& s, double queue, Duration taken, bool reports = true) {
+    AttemptResult r{s.request, s.attempt, s.host, Outcome::served, taken, true, {}};
+    if (reports) r.report = queueOf(queue);
+    d.balancer.onResult(d.now, r);
+    d.collect();
+    d.out.clear();
+  };
+  const auto ask = [](Driver& d) {
+    d.request(0);
+    d.advance(milliseconds(10));
+    return d.lastSent();
+  };
+  for (Driver* d : {&told, &untold}) {
+    for (int i = 0; i < 600; ++i) {  // what was reported last is what comes
+      const double queue = i / 12 % 2 ? 9 : 0;
+      answer(*d, ask(*d), queue, milliseconds(queue > 0 ? 40 : 10));
+    }
+    const Sent late = ask(*d);
+    const int number = late.host == d->host(0) ? 0 : 1;
+    HostEntry again = makeHost(number, "east", number);
+    again.upSince = d->now;
+    d->balancer.onHosts(d->now, ListKind::update, {again});
+    d->advance(milliseconds(10));
+    answer(*d, late, 500, milliseconds(20), d == &told);
+    d->forget();
+    for (int i = 0; i < 200; ++i) answer(*d, ask(*d), 1, milliseconds(10));
+  }
+  ASSERT_EQ(told.sent.size(), untold.sent.size());
+  for (std::size_t i = 0; i < told.sent.size(); ++i) ASSERT_EQ(told.sent[i].host, untold.sent[i].host) << i;
+}
+
 // --- The first moments
 
 // 16 clients in a closed loop before two idle hosts that answer in 50 us: 1,643 of their requests were
