--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -28,6 +28,9 @@
 // The front notices, and clients that use their connections once more learn of it from the answer. Beyond
 // this a connection at rest is closed.
 constexpr Duration kRestAfterAway = milliseconds(1200);
+// The platform ends a process 0.7 s after the longest deadline, of which it counts so much at most. Danger: a
+// drain by the whole of a longer one is cut off with its requests unanswered.
+constexpr Duration kLongestCounted = seconds(3);
 constexpr Duration kExitAfterLongest = milliseconds(600);
 constexpr Duration kLastCall = milliseconds(60);  // before the exit: what is still open is failed
 constexpr Duration kWatchMost = seconds(20);
@@ -105,7 +108,7 @@
   draining_ = true;
   done_ = std::move(done);
   const Time now = clock_.now();
-  const Duration longest = longestGiveUp(config_.settings);
+  const Duration longest = std::min(longestGiveUp(config_.settings), kLongestCounted);
   housekeepAt_ = now;
   exitAt_ = now + longest + kExitAfterLongest;
   acceptUntil_ = closeListenerAt_ = now + kAcceptAfterStop;
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -694,6 +694,25 @@
   EXPECT_EQ(gateway->openRequests(), 0u);
 }
 
+// The platform counts 3 s of a longest deadline, and 0.7 s more, before it ends the process by force.
+TEST_F(GatewayTest, ADrainCountsAtMostThreeSecondsOfTheLongestDeadline) {
+  host(hold);
+  start([](json& c) {
+    for (json& g : c["settings"]["grades"]) g["giveUpNs"] = 9'000'000'000;
+  });
+  const auto c = client();
+  c->ask("POST", "/book", 9000, "x");
+  ASSERT_TRUE(until([&] { return hosts[0]->received.size() == 1; }));
+  bool done = false;
+  const auto begun = std::chrono::steady_clock::now();
+  gateway->drain([&] { done = true; });
+  ASSERT_TRUE(until([&] { return done || std::chrono::steady_clock::now() - begun > std::chrono::seconds(6); }));
+  EXPECT_TRUE(done) << "still draining 6 s after it was told to end";
+  ASSERT_EQ(c->answers.size(), 1u);  // ahead of the end, and it claims nothing
+  EXPECT_EQ(c->answers[0].result_int(), 502u);
+  EXPECT_EQ(gateway->openRequests(), 0u);
+}
+
 TEST_F(GatewayTest, DrainAnswersWhatWasTakenAndThenEnds) {
   host(hold);
   serveDraining = Duration{};  // clients are sent away at once
