--- /dev/null
+++ b/bench/trace.cpp
@@ -0,0 +1,81 @@
+// What the log of attempts costs a gateway: a request with one attempt, two lines, from the gateway's word to
+// the buffer of the thread that writes them; and what putting logs together takes.
+//   build/bench_trace [REQUESTS]
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "app/trace_log.hpp"
+#include "trace/join.hpp"
+
+int main(int argc, char** argv) {
+  using namespace finchstile;
+  const int requests = argc > 1 ? std::max(1, std::atoi(argv[1])) : 200000;
+  const auto seconds = [](auto what) {
+    const auto begun = std::chrono::steady_clock::now();
+    what();
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+  };
+  boost::asio::io_context io;
+  const Clock clock;
+  ridgeshift::ClassSettings type;
+  type.name = "stock-out";
+  const auto play = [&](double share, double perSecond) {
+    trace::TraceSettings settings;
+    settings.file = "/dev/null";
+    settings.share = share;
+    settings.linesPerSecond = perSecond;
+    settings.fileMost = std::size_t{1} << 40;
+    settings.waitingMost = std::size_t{1} << 30;
+    TraceLog log(io, clock, settings, "n54");
+    return seconds([&] {
+             for (int i = 0; i < requests; ++i) {
+               const std::string id = "574506fc" + std::to_string(i);
+               const auto now = clock.now();
+               log.onAttempt({id,
+                              type,
+                              0,
+                              "s-68200762",
+                              "brasov",
+                              3,
+                              now,
+                              now,
+                              ridgeshift::Outcome::served,
+                              false,
+                              false,
+                              now,
+                              now,
+                              {},
+                              false});
+               log.onRequest({id, type, now, std::chrono::milliseconds(480), RequestEnd::served, 200, 1, 0});
+             }
+           }) /
+           requests * 1e6;
+  };
+  std::printf(
+      "a request, two lines: %.2f us written, %.2f us beyond the rate, %.2f us not chosen (share 0.01)\n",
+      play(1, 1e6 * 1000), play(1, 1), play(0.01, 1e9));
+  trace::Join join;
+  std::string text;
+  const double read = seconds([&] {
+    for (int i = 0; i < requests; ++i) {
+      trace::AttemptLine a;
+      a.gateway = "n" + std::to_string(i % 300);
+      a.id = std::to_string(i);
+      a.host = "s-" + std::to_string(i % 200);
+      a.sent = 1764621000000000 + i * 100;
+      a.begun = a.sent + 300;
+      a.ended = a.sent + 80000;
+      text.clear();
+      trace::append(text, a);
+      text.pop_back();
+      join.add(trace::parse(text).line);
+    }
+  });
+  std::size_t findings = 0;
+  const double audit = seconds([&] { findings = join.audit({}).size(); });
+  std::printf("put together: %.2f us a line, audit of %d requests %.2f s, %zu findings\n",
+              read / requests * 1e6, requests, audit, findings);
+}
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -11,6 +11,7 @@
 #include "app/hosts_command.hpp"
 #include "app/operator_file.hpp"
 #include "app/run.hpp"
+#include "app/trace_command.hpp"
 #include "hook/files.hpp"
 #include "net/config.hpp"
 
@@ -63,6 +64,7 @@
   std::function<int()> chosen;
   addHookCommands(app, chosen);
   addHostsCommand(app, chosen);
+  addTraceCommand(app, chosen);
   app.require_subcommand(0, 1);
   try {
     app.parse(argc, argv);
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -56,6 +56,7 @@
     peer::readPeerSettings(root, folder, out.peers);
     crossing::readCrossingSettings(root, out.crossing);
     membership::readMembershipSettings(root, out.membership);
+    trace::readTraceSettings(root, folder, out.trace);
     stream::readStreamSettings(root, out.streams, [&](SettingReader& streams) {
       websocket::readWebSocketSettings(streams, out.webSocket);
       if (out.webSocket.enabled && !out.streams.enabled)
--- a/src/app/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -15,6 +15,7 @@
 #include "operator/document.hpp"
 #include "peer/settings.hpp"
 #include "stream/settings.hpp"
+#include "trace/settings.hpp"
 #include "websocket/settings.hpp"
 
 namespace finchstile {
@@ -27,6 +28,7 @@
   crossing::CrossingSettings crossing;
   membership::MembershipSettings membership;
   stream::StreamSettings streams;
+  trace::TraceSettings trace;
   websocket::WebSocketSettings webSocket;
 };
 
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -25,6 +25,7 @@
 #include "app/ops_desk.hpp"
 #include "app/peer_link.hpp"
 #include "app/succession.hpp"
+#include "app/trace_log.hpp"
 #include "crossing/stage.hpp"
 #include "hook/files.hpp"
 #include "hook/stage.hpp"
@@ -111,6 +112,11 @@
     }
     if (members_ && desk_) desk_->hosts = [this](const std::string& host) { return members_->text(host); };
     if (members_) waitToReport();
+    if (built_.file.trace.enabled) {
+      trace_ = std::make_unique<TraceLog>(io_, clock_, built_.file.trace, config_.name);
+      gateway_.setAttemptLog(*trace_);
+      waitToReport();
+    }
     gateway_.start();
     if (const std::string path = successionPath(config_.name);
         config_.inheritedListener >= 0 && !path.empty())
@@ -150,6 +156,7 @@
       std::fprintf(stderr, "finchstile: drained, %zu connections and %zu requests left\n",
                    gateway_.clientConnections(), gateway_.openRequests());
       if (succession_) succession_->over();
+      if (trace_) trace_->stop(gateway_.openRequests());
       io_.stop();
     });
     if (succession_) succession_->begin();
@@ -265,6 +272,7 @@
       if (peers_) lines.push_back(peers_->summary());
       if (members_) lines.push_back(members_->summary());
       if (streams_) lines.push_back(streams_->account().summary());
+      if (trace_) lines.push_back(trace_->summary());
       if (crossing_)
         for (std::string& line : crossing_->summary()) lines.push_back(std::move(line));
       for (const std::string& line : lines) {
@@ -289,6 +297,7 @@
   std::unique_ptr<KeyLog> keyLog_;
   std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<KeyOwners> keyOwners_;
+  std::unique_ptr<TraceLog> trace_;
   Gateway gateway_;
   std::unique_ptr<stream::StreamTable> streams_;
   std::unique_ptr<stream::TcpFront> tcp_;
--- /dev/null
+++ b/src/app/trace_log.cpp
@@ -0,0 +1,165 @@
+#include "app/trace_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace finchstile {
+namespace {
+
+using ridgeshift::Outcome;
+using ridgeshift::Time;
+using trace::Ran;
+using trace::Why;
+
+constexpr std::chrono::milliseconds kFlush(200);
+constexpr std::size_t kFlushBytes = 64 * 1024;
+
+// A name is any bytes, a file's name is not.
+std::string fileFor(std::string path, std::string gateway) {
+  std::replace(gateway.begin(), gateway.end(), '/', '_');
+  static constexpr std::string_view kName = "{name}";
+  for (std::size_t at = path.find(kName); at != std::string::npos; at = path.find(kName, at + gateway.size()))
+    path.replace(at, kName.size(), gateway);
+  return path;
+}
+
+Ran ranOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::served:
+    case Outcome::rejected: return Ran::yes;
+    case Outcome::full:
+    case Outcome::connectFailed:
+    case Outcome::moot: return Ran::no;
+    default: return Ran::maybe;
+  }
+}
+
+Why whyOf(const AttemptSeen& a) {
+  if (a.byLimit) return Why::limit;
+  if (a.outcome != Outcome::cancelled && a.outcome != Outcome::moot) return Why::host;
+  return a.over ? Why::over : Why::again;
+}
+
+trace::End endOf(RequestEnd end) {
+  switch (end) {
+    case RequestEnd::served: return trace::End::served;
+    case RequestEnd::refused: return trace::End::refused;
+    case RequestEnd::failed: return trace::End::failed;
+    case RequestEnd::rejected: return trace::End::rejected;
+    case RequestEnd::left: return trace::End::left;
+  }
+  return trace::End::failed;
+}
+
+std::int64_t inMs(ridgeshift::Duration d) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+}  // namespace
+
+TraceLog::TraceLog(boost::asio::io_context& io, const Clock& clock, const trace::TraceSettings& settings,
+                   const std::string& gateway)
+    : clock_(clock),
+      settings_(settings),
+      gateway_(gateway),
+      file_(fileFor(settings.file, gateway), settings.fileMost, settings.waitingMost),
+      budget_(settings.linesPerSecond, clock.now()),
+      timer_(io) {
+  add(trace::StartLine{gateway_, unixUs(clock_.now())});
+  waitToFlush();
+}
+
+std::int64_t TraceLog::unixUs(Time at) const {
+  if (at == Time{}) return 0;
+  return std::chrono::duration_cast<std::chrono::microseconds>(clock_.unixAt(at)).count();
+}
+
+std::int64_t TraceLog::ageMs(Time since, Time at) const {
+  return since == Time{} ? trace::kNever : inMs(std::max(at - since, ridgeshift::Duration{}));
+}
+
+void TraceLog::onAttempt(const AttemptSeen& a) {
+  if (!trace::chosen(a.id, settings_.share)) return;
+  trace::AttemptLine line;
+  line.gateway = gateway_;
+  line.id = a.id;
+  line.className = a.type.name;
+  line.host = a.host;
+  line.zone = a.zone;
+  line.cell = a.cell;
+  line.sent = unixUs(a.sent);
+  line.begun = unixUs(a.begun);
+  line.ended = unixUs(clock_.now());
+  line.number = a.number;
+  line.effect = a.type.effect;
+  line.group = a.type.group;
+  line.window = inMs(a.type.window);
+  line.outcome = a.outcome;
+  line.why = whyOf(a);
+  line.ran = ranOf(a.outcome);
+  line.word = ageMs(a.word, a.sent);
+  line.heard = ageMs(a.heard, a.sent);
+  line.up = std::max(ageMs(a.upSince, a.sent), std::int64_t{0});
+  line.avoided = a.avoided;
+  add(line);
+}
+
+void TraceLog::onRequest(const RequestSeen& r) {
+  if (!trace::chosen(r.id, settings_.share)) return;
+  trace::RequestLine line;
+  line.gateway = gateway_;
+  line.id = r.id;
+  line.className = r.type.name;
+  line.came = unixUs(r.came);
+  line.ended = unixUs(clock_.now());
+  line.left = inMs(r.left);
+  line.effect = r.type.effect;
+  line.end = endOf(r.end);
+  line.status = r.status;
+  line.attempts = static_cast<std::uint32_t>(r.attempts);
+  line.cut = static_cast<std::uint32_t>(std::max(r.cutoff, 0.0));
+  add(line);
+}
+
+void TraceLog::onPhase(const std::string& host, ridgeshift::Phase phase) {
+  add(trace::HostLine{gateway_, host, unixUs(clock_.now()), phase});
+}
+
+void TraceLog::stop(std::size_t open) {
+  add(trace::StopLine{gateway_, unixUs(clock_.now()), open});
+  flush();
+}
+
+std::string TraceLog::summary() const {
+  return "trace written=" + std::to_string(written_) + " left_out=" + std::to_string(leftOut_);
+}
+
+void TraceLog::add(const trace::Line& line) {
+  if (!budget_.take(clock_.now())) return;
+  trace::append(lines_, line);
+  ++linesNow_;
+  if (lines_.size() >= kFlushBytes) flush();
+}
+
+// Danger: lines that are missing without a word would make a fault of ours look like none, or like one.
+void TraceLog::flush() {
+  budget_.drop(file_.takeLost());
+  const std::uint64_t missing = budget_.takeDropped();
+  if (missing > 0) trace::append(lines_, trace::GapLine{gateway_, unixUs(clock_.now()), missing});
+  if (lines_.empty()) return;
+  if (file_.write(lines_)) written_ += linesNow_, leftOut_ += missing;
+  else budget_.drop(linesNow_ + missing);  // told with the next that can be written
+  lines_.clear();
+  linesNow_ = 0;
+}
+
+void TraceLog::waitToFlush() {
+  timer_.expires_after(kFlush);
+  timer_.async_wait([this](const boost::system::error_code& stopped) {
+    if (stopped) return;
+    flush();
+    waitToFlush();
+  });
+}
+
+}  // namespace finchstile
--- /dev/null
+++ b/src/app/trace_log.hpp
@@ -0,0 +1,48 @@
+// The log of attempts in the program: what the gateway tells, as lines in a file.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "app/trace_file.hpp"
+#include "net/attempts.hpp"
+#include "net/clock.hpp"
+#include "trace/budget.hpp"
+#include "trace/line.hpp"
+#include "trace/settings.hpp"
+
+namespace finchstile {
+
+class TraceLog : public AttemptLog {
+ public:
+  // `{name}` in the file's path stands for the gateway's name. Throws std::runtime_error if the file can't be
+  // opened.
+  TraceLog(boost::asio::io_context& io, const Clock& clock, const trace::TraceSettings& settings,
+           const std::string& gateway);
+  ~TraceLog() override { flush(); }
+
+  void onAttempt(const AttemptSeen& attempt) override;
+  void onRequest(const RequestSeen& request) override;
+  void onPhase(const std::string& host, ridgeshift::Phase phase) override;
+  void stop(std::size_t open);  // the process ends in order, with so many requests open
+  std::string summary() const;
+
+ private:
+  void add(const trace::Line& line);
+  void flush();
+  void waitToFlush();
+  std::int64_t unixUs(ridgeshift::Time at) const;  // 0 for never
+  std::int64_t ageMs(ridgeshift::Time since, ridgeshift::Time at) const;
+
+  const Clock& clock_;
+  const trace::TraceSettings settings_;
+  const std::string gateway_;
+  TraceFile file_;
+  trace::Budget budget_;
+  boost::asio::steady_timer timer_;
+  std::string lines_;
+  std::uint64_t linesNow_ = 0, written_ = 0, leftOut_ = 0;
+};
+
+}  // namespace finchstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -201,6 +201,8 @@
   r.client = session;
   r.message = std::make_shared<const ClientRequest>(std::move(message));
   r.classIndex = q.classIndex;
+  r.came = clock_.now();
+  r.left = q.left;
   r.arriving = q.arriving = !whole;
   if (upgrade) {
     q.stream = true;
@@ -327,6 +329,7 @@
                         a.body, !a.parted, a.parted ? a.parted->length.value_or(0) : 0},
                        a.headers);
   it->second.ended = true;
+  it->second.status = static_cast<unsigned>(a.status);
   if (!a.parted) count(it->second, a.status);
   if (const auto client = it->second.client.lock()) client->answer(std::move(a));
   if (x) stages_.answerDone(*x);
@@ -362,6 +365,9 @@
 void Gateway::end(RequestId id, RequestRecord& r, RequestEnd how) {
   letGo(id, r);
   r.ended = true;
+  if (log_)
+    log_->onRequest({view((*r.message)["X-Correlation-Id"]), config_.settings.classes[r.classIndex], r.came,
+                     r.left, how, r.status, r.attempts.size(), balancer_.cutoff()});
   if (const auto asked = std::exchange(r.upgrade, nullptr)) upgrades_->onNotBegun(*asked, how);
   if (const auto x = std::exchange(r.exchange, nullptr)) stages_.ended(*x, how);
 }
@@ -390,9 +396,15 @@
   // Of one whose body is still coming the client is timed, and the host that takes it; the module's limit
   // comes with the last byte.
   const Time limit = r.arriving ? Time::max() : now + action.span;
-  attempts_[id] = {action.request, action.attempt, action.host, now, limit, {}};
+  AttemptRecord& a = attempts_[id];
+  a = {action.request, action.attempt, action.host, now, limit, {}, {}, {}, {}, {}, false};
   limits_.emplace(limit, id);
   if (host == hosts_.end()) return;  // cannot be: the module knows only hosts that we named; times out
+  if (log_) {
+    const HostRecord& h = host->second;
+    a.word = h.word, a.heard = h.heard, a.upSince = h.listed.upSince,
+    a.avoided = balancer_.avoids(action.host);
+  }
   pool_.send(id, action.host, host->second.endpoint, action.proveFirst);
 }
 
@@ -409,6 +421,7 @@
   const bool whole = !r->second.arriving;
   const auto left = std::chrono::duration_cast<milliseconds>(a->second.limit - clock_.now()).count();
   if (left <= 0) return std::nullopt;
+  a->second.begun = clock_.now();
   Outgoing out{UpstreamRequest(from.method(), from.target(), 11), whole};
   UpstreamRequest& to = out.message;
   if (from.method() == http::verb::unknown) to.method_string(from.method_string());
@@ -563,6 +576,8 @@
   attempts_.erase(it);
   limits_.erase({a.limit, id});
   --r.out;
+  r.status = 101;
+  if (log_) note(a, r, Outcome::served, false);
   const auto host = hosts_.find(a.host);
   if (Exchange* const x = r.exchange.get()) {
     stages_.settled(*x, true);
@@ -608,6 +623,15 @@
   if (observer_ && host.heard < sent) observer_->onSilent(host.listed.address);
 }
 
+void Gateway::note(const AttemptRecord& a, const RequestRecord& r, Outcome outcome, bool byLimit) {
+  const auto host = hosts_.find(a.host);
+  static const HostRecord kForgotten;
+  const HostRecord& h = host == hosts_.end() ? kForgotten : host->second;
+  log_->onAttempt({view((*r.message)["X-Correlation-Id"]), config_.settings.classes[r.classIndex], a.number,
+                   h.listed.address, h.zone, h.cell, a.sent, a.begun, outcome, byLimit, r.ended, a.word,
+                   a.heard, a.upSince, a.avoided});
+}
+
 void Gateway::onOutcome(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
   settle(id, outcome, std::move(upstream));
   carryOut();
@@ -625,6 +649,7 @@
   if (host != hosts_.end()) observe(host->second, outcome, a.sent, byLimit);
   const auto r = requests_.find(a.request);
   if (r == requests_.end()) return;
+  if (log_) note(a, r->second, outcome, byLimit);
   --r->second.out;
   const Time now = clock_.now();
   ridgeshift::AttemptResult result;
@@ -723,7 +748,7 @@
     if (record.endpoint != h.endpoint) pool_.setOpen(id, false);
     // Another process at this name has shown no life yet.
     const Time heard = !fresh && record.listed.upSince == h.entry.upSince ? record.heard : Time{};
-    record = {h.endpoint, phase, h.entry, h.entry.zone, h.entry.cell, heard};
+    record = {h.endpoint, phase, h.entry, h.entry.zone, h.entry.cell, heard, clock_.now()};
     named.push_back(id);
   }
   std::sort(named.begin(), named.end());
@@ -736,8 +761,10 @@
     }
     pool_.setOpen(id, record.phase == Phase::in);
   }
-  for (Front* front : fronts_)
-    for (const auto& [id, phase] : changed) front->onHost(id, phase);
+  for (const auto& [id, phase] : changed) {
+    for (Front* front : fronts_) front->onHost(id, phase);
+    if (log_) log_->onPhase(hosts_[id].listed.address, phase);
+  }
   carryOut();
 }
 
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -16,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/attempts.hpp"
 #include "net/client.hpp"
 #include "net/clock.hpp"
 #include "net/config.hpp"
@@ -46,10 +47,11 @@
   // Goes over to the discovery that `next` names; hosts, requests and connections stay as they are. All else
   // in it takes effect at the next start.
   void reload(const Config& next);
-  // These must outlive the gateway. Gate and observer: before `start`.
+  // These must outlive the gateway. Gate, observer and log: before `start`.
   void addHostFilter(const HostFilter& filter) { filters_.push_back(&filter); }
   void setListGate(ListGate& gate) { gate_ = &gate; }
   void setHostObserver(HostObserver& observer) { observer_ = &observer; }
+  void setAttemptLog(AttemptLog& log) { log_ = &log; }
   void refilter();
   void takeList(const HostList& list);  // past the gate
   void askWholeList();                  // of discovery, in place of the watch that is on
@@ -101,7 +103,10 @@
     std::size_t out = 0;
     std::unique_ptr<Exchange> exchange;  // null while no stage is attached
     RequestEnd end = RequestEnd::failed;
-    bool ran = false;                       // an attempt that has ended may have run
+    bool ran = false;  // an attempt that has ended may have run
+    Time came{};
+    Duration left{};
+    unsigned status = 0;                    // of its answer
     Time heldUntil{};                       // by a stage; 0: it is not held
     std::unique_ptr<UpgradeAsked> upgrade;  // it asks to leave HTTP, and has not yet
   };
@@ -110,7 +115,10 @@
     std::uint32_t number = 0;
     ridgeshift::HostId host = ridgeshift::kNone;
     Time sent{}, limit{};
-    Time head{};  // when its answer began; 0: it has not
+    Time head{};                      // when its answer began; 0: it has not
+    Time begun{};                     // when its first byte went out; 0: it has not
+    Time word{}, heard{}, upSince{};  // of the host as it was chosen
+    bool avoided = false;
   };
   struct HostRecord {
     tcp::endpoint endpoint;
@@ -119,6 +127,7 @@
     std::string zone;
     std::int64_t cell = 0;
     Time heard{};  // showed life to an attempt; 0: never
+    Time word{};   // when a list last named it
   };
   struct RelayRecord {  // an answer that is passed on piece by piece
     ridgeshift::RequestId request = 0;
@@ -187,6 +196,8 @@
   void failOpen();
   void settle(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer,
               std::optional<Parted> parted = {}, bool byLimit = false);
+  void note(const AttemptRecord& attempt, const RequestRecord& request, ridgeshift::Outcome outcome,
+            bool byLimit);
   void endRelay(RelayId relay);
   void releaseIfOver(ridgeshift::RequestId request);
   void forgetHosts();
@@ -203,6 +214,7 @@
   std::vector<const HostFilter*> filters_;
   ListGate* gate_ = nullptr;
   HostObserver* observer_ = nullptr;
+  AttemptLog* log_ = nullptr;
   std::vector<ClassFigures> counts_;
   std::uint64_t reports_ = 0, spoiltReports_ = 0;
   Discovery discovery_;
--- a/tests/app/commands_test.cpp
+++ b/tests/app/commands_test.cpp
@@ -80,5 +80,36 @@
   EXPECT_NE(refused.output.find("good: hook g"), std::string::npos);  // the other is told all the same
 }
 
+TEST_F(CommandsTest, LogsOfAttemptsArePutTogether) {
+  const auto attempt = [](const char* gateway, const char* at, const char* outcome, const char* ran) {
+    return std::string("trace attempt gw=") + gateway +
+           " id=x class=out effect=unsafe try=0 host=s-1 zone=a cell=0 " + at + " outcome=" + outcome +
+           " why=host ran=" + ran + " word_ms=5 heard_ms=-1 up_ms=0 avoided=0\n";
+  };
+  const std::string one = attempt("n1", "sent=1000000 begun=1000100 ended=1050000", "reset", "maybe");
+  folder.write("a",
+               "9.1 cutoff 100\n" + one +
+                   "trace request gw=n1 id=x class=out effect=unsafe came=1000000 ended=1050000 left_ms=400 "
+                   "end=failed status=502 attempts=1 cut=0\n");
+  EXPECT_EQ(run({"trace", folder / "a", "--audit"}).code, 0);
+  const Ran told = run({"trace", folder / "a", "--id", "x"});
+  EXPECT_EQ(told.code, 0);
+  EXPECT_NE(told.output.find("n1 attempt 0: reset by host, ran: maybe"), std::string::npos) << told.output;
+  EXPECT_NE(run({"trace", folder / "a", "--by", "host"}).output.find("s-1"), std::string::npos);
+  folder.write("b", attempt("n2", "sent=1200000 begun=1200100 ended=1250000", "served", "yes"));
+  const Ran both = run({"trace", folder / "a", folder / "b", "--audit"});
+  EXPECT_EQ(both.code, 3);
+  EXPECT_NE(both.output.find("ran_twice n2 x: sent to s-1 after reset at s-1"), std::string::npos)
+      << both.output;
+  folder.write("c", "trace start gw=n1\n");
+  const Ran bad = run({"trace", folder / "c"});
+  EXPECT_EQ(bad.code, 3);
+  EXPECT_NE(bad.output.find("c:1: at is missing"), std::string::npos) << bad.output;
+  EXPECT_EQ(run({"trace", folder / "nowhere"}).code, 1);
+  EXPECT_EQ(run({"trace", folder / "a", "--by", "moon"}).code, 2);
+  EXPECT_EQ(run({"trace", folder / "a", "--audit", "--slack", "soon"}).code, 2);
+  EXPECT_EQ(run({"trace", folder / "a", "--id", "y"}).code, 3);
+}
+
 }  // namespace
 }  // namespace finchstile::testing
--- a/tests/app/operator_file_test.cpp
+++ b/tests/app/operator_file_test.cpp
@@ -81,5 +81,15 @@
   EXPECT_EQ(problems("[membership.warm_start]\nenabled = true\n").size(), 1u);
 }
 
+TEST(OperatorFile, TheLogOfAttemptsHasBounds) {
+  EXPECT_FALSE(readOperatorFile("", "o.toml").trace.enabled);
+  const auto good =
+      readOperatorFile("[trace]\nenabled = true\nfile = 'a-{name}'\nshare = 0.1\n", "etc/o.toml");
+  EXPECT_TRUE(good.trace.enabled);
+  EXPECT_EQ(good.trace.file, "etc/a-{name}");
+  for (const char* bad : {"share = 1.5", "lines_per_second = 0", "file_most = 1", "file = ''", "shar = 1"})
+    EXPECT_THROW(readOperatorFile(std::string("[trace]\n") + bad + "\n", "o.toml"), OperatorFileError) << bad;
+}
+
 }  // namespace
 }  // namespace finchstile
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -706,7 +706,8 @@
   bool done = false;
   const auto begun = std::chrono::steady_clock::now();
   gateway->drain([&] { done = true; });
-  ASSERT_TRUE(until([&] { return done || std::chrono::steady_clock::now() - begun > std::chrono::seconds(6); }));
+  ASSERT_TRUE(
+      until([&] { return done || std::chrono::steady_clock::now() - begun > std::chrono::seconds(6); }));
   EXPECT_TRUE(done) << "still draining 6 s after it was told to end";
   ASSERT_EQ(c->answers.size(), 1u);  // ahead of the end, and it claims nothing
   EXPECT_EQ(c->answers[0].result_int(), 502u);
--- /dev/null
+++ b/tests/trace/line_test.cpp
@@ -0,0 +1,109 @@
+// Lines of the log of attempts: each reads back as it was written, and what can't be read says why.
+#include "trace/line.hpp"
+
+#include <gtest/gtest.h>
+
+namespace finchstile::trace {
+namespace {
+
+AttemptLine attempt() {
+  AttemptLine a;
+  a.gateway = "n54";
+  a.id = "574506fc";
+  a.className = "log-in";
+  a.host = "s-1";
+  a.zone = "cluj";
+  a.sent = 1764621000000001;
+  a.begun = 1764621000000400;
+  a.ended = 1764621000084000;
+  a.number = 2;
+  a.cell = 3;
+  a.effect = Effect::dedup;
+  a.group = Group::zone;
+  a.window = 2000;
+  a.outcome = Outcome::reset;
+  a.why = Why::host;
+  a.ran = Ran::maybe;
+  a.word = 900;
+  a.heard = kNever;
+  a.up = 12;
+  a.avoided = true;
+  return a;
+}
+
+std::string text(const Line& line) {
+  std::string out;
+  append(out, line);
+  EXPECT_EQ(out.back(), '\n');
+  out.pop_back();
+  return out;
+}
+
+std::string problem(std::string_view line) {
+  const Parsed p = parse(line);
+  EXPECT_EQ(p.kind, Parsed::Kind::bad) << line;
+  return p.problem;
+}
+
+TEST(TraceLine, EachKindReadsBackAsItWasWritten) {
+  RequestLine r;
+  r.gateway = "n54", r.id = "574506fc", r.className = "stock-out";
+  r.came = 5, r.ended = 1000, r.left = 480, r.effect = Effect::fragile, r.end = End::refused;
+  r.status = 503, r.attempts = 1, r.cut = 37;
+  const std::vector<Line> all{attempt(),
+                              r,
+                              HostLine{"n54", "s-1", 7, Phase::draining},
+                              StartLine{"n54", 1},
+                              StopLine{"n54", 9, 3},
+                              GapLine{"n54", 8, 12}};
+  for (const Line& line : all) {
+    const Parsed read = parse(text(line));
+    ASSERT_EQ(read.kind, Parsed::Kind::line) << text(line) << ": " << read.problem;
+    EXPECT_EQ(read.line.index(), line.index());
+    EXPECT_EQ(text(read.line), text(line));
+    EXPECT_EQ(gatewayOf(read.line), "n54");
+    EXPECT_EQ(timeOf(read.line), timeOf(line));
+  }
+  const auto a = std::get<AttemptLine>(parse(text(attempt())).line);
+  EXPECT_EQ(a.window, 2000);
+  EXPECT_EQ(a.heard, kNever);
+  EXPECT_TRUE(a.avoided);
+  EXPECT_EQ(a.group, Group::zone);
+}
+
+// An id is the client's to choose.
+TEST(TraceLine, NamesMayHoldAnyBytes) {
+  AttemptLine a = attempt();
+  a.id = "a b=c%d\n\xff";
+  const std::string line = text(a);
+  EXPECT_EQ(line.find('\n'), std::string::npos);
+  EXPECT_EQ(std::get<AttemptLine>(parse(line).line).id, a.id);
+}
+
+TEST(TraceLine, LinesOfOthersArePassedOver) {
+  for (const char* line : {"", "9.1 cutoff 100", "tracer x", "finchstile: drains"})
+    EXPECT_EQ(parse(line).kind, Parsed::Kind::other) << line;
+}
+
+TEST(TraceLine, KeysOfLaterVersionsArePassedOver) {
+  EXPECT_EQ(parse(text(attempt()) + " colour=red").kind, Parsed::Kind::line);
+}
+
+TEST(TraceLine, WhatIsWrongIsNamedWithItsKey) {
+  EXPECT_EQ(problem("trace colour gw=a"), "'colour' is none of attempt, request, host, start, stop, gap");
+  EXPECT_EQ(problem("trace start gw=a"), "at is missing");
+  EXPECT_EQ(problem("trace start gw=a at=soon"), "at must be a whole number of 0 or more");
+  EXPECT_EQ(problem("trace start gw=a at=-1"), "at must be a whole number of 0 or more");
+  EXPECT_EQ(problem("trace start gw=a at=1 gw=b"), "gw stands twice");
+  EXPECT_EQ(problem("trace start gw=%4 at=1"), "gw has a % with no two digits behind it");
+  EXPECT_EQ(problem("trace start gw=a at=1 what"), "what is no key=value");
+  EXPECT_EQ(problem("trace host gw=a host=h at=1 phase=up"), "phase must be one of in, draining, out");
+  EXPECT_EQ(problem("trace start gw=" + std::string(20000, 'x') + " at=1"), "longer than 16 KiB");
+  // A line that was cut off by a full disk.
+  const std::string whole = text(attempt());
+  for (std::size_t n = 20; n < whole.find(" window_ms"); ++n)
+    EXPECT_EQ(parse(whole.substr(0, n)).kind, Parsed::Kind::bad) << n;
+}
+
+}  // namespace
+}  // namespace finchstile::trace
