The log of attempts read once more: what may have run is told in one place

Which outcomes leave it possible that a host ran an attempt was written three times (module, gateway, log); a name made into a file's name twice; what was known of a host was copied field by field through two records; a block of lines was copied before each write; the audit looked each request up again, and the life of a process was found by two loops. Two faults came to light on the way.

Change: ridgeshift::mayHaveRun(Outcome), used by all three; base/file_name.hpp; HostKnown, About, readMark and one lifeAt(); the gateway reads its clock once in compose() and learnHosts(), looks the host up once for a line, and tells fronts of phases in the order that it had before the log. The faults: the summary began with "trace", so that `finchstile trace` took it for a bad line on standard error and ended with 3 (it begins with "attempt_log" now); and the line feed that ends half a line on a full disk was counted as a lost line when it could not be written.

--- a/bench/trace.cpp
+++ b/bench/trace.cpp
@@ -34,21 +34,9 @@
              for (int i = 0; i < requests; ++i) {
                const std::string id = "574506fc" + std::to_string(i);
                const auto now = clock.now();
-               log.onAttempt({id,
-                              type,
-                              0,
-                              "s-68200762",
-                              "brasov",
-                              3,
-                              now,
-                              now,
-                              ridgeshift::Outcome::served,
-                              false,
-                              false,
-                              now,
-                              now,
-                              {},
-                              false});
+               const HostKnown known{now, now, {}, false};
+               log.onAttempt({id, type, 0, "s-68200762", "brasov", 3, now, now, ridgeshift::Outcome::served,
+                              false, false, known});
                log.onRequest({id, type, now, std::chrono::milliseconds(480), RequestEnd::served, 200, 1, 0});
              }
            }) /
--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -130,6 +130,11 @@
   rejected        // the request is at fault: no blame, and nobody else is to be asked
 };
 
+// Whether a host may have run an attempt that ended so.
+constexpr bool mayHaveRun(Outcome outcome) {
+  return outcome != Outcome::full && outcome != Outcome::connectFailed && outcome != Outcome::moot;
+}
+
 // A host's load as it reports it, some time ago and not exactly. NaN: not reported. What makes no sense
 // (below 0, not finite) counts as not reported.
 struct LoadReport {
--- a/src/app/ops_desk.cpp
+++ b/src/app/ops_desk.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "base/file_name.hpp"
 #include "ops/call.hpp"
 
 namespace finchstile {
@@ -106,9 +107,7 @@
 std::string opsFile(const std::string& name) {
   const char* folder = std::getenv("TMPDIR");
   if (!folder || !*folder) return {};
-  std::string plain;
-  for (const char c : name) plain += c == '/' ? '_' : c;
-  return std::string(folder) + "/finchstile-" + plain + ".out";
+  return std::string(folder) + "/finchstile-" + fileNameOf(name) + ".out";
 }
 
 }  // namespace finchstile
--- a/src/app/trace_command.cpp
+++ b/src/app/trace_command.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t kProblemsShown = 20;
 constexpr std::size_t kFindingsShown = 200;
 
+using By = trace::Join::By;
+const std::map<std::string, By> kBy{
+    {"host", By::host}, {"second", By::second}, {"gateway", By::gateway}, {"class", By::className}};
+
 struct Options {
   std::vector<std::string> files, ids;
   std::string by;
@@ -63,22 +67,14 @@
 }
 
 void showSums(const trace::Join& join, const std::string& by) {
-  using By = trace::Join::By;
-  static const std::map<std::string, By> kBy{
-      {"host", By::host}, {"second", By::second}, {"gateway", By::gateway}, {"class", By::className}};
   std::printf("%-24s %9s %8s %8s %8s %8s %8s %8s %9s %8s %8s %8s %8s %8s\n", by.c_str(), "attempts", "served",
               "full", "failed", "lost", "no_conn", "off", "mean_ms", "requests", "answered", "refused",
               "unsent", "errored");
   for (const auto& [key, s] : join.sums(kBy.at(by)))
-    std::printf("%-24s %9llu %8llu %8llu %8llu %8llu %8llu %8llu %9.1f %8llu %8llu %8llu %8llu %8llu\n",
-                key.c_str(), static_cast<unsigned long long>(s.attempts),
-                static_cast<unsigned long long>(s.served), static_cast<unsigned long long>(s.full),
-                static_cast<unsigned long long>(s.failed), static_cast<unsigned long long>(s.lost),
-                static_cast<unsigned long long>(s.unconnected), static_cast<unsigned long long>(s.calledOff),
+    std::printf("%-24s %9zu %8zu %8zu %8zu %8zu %8zu %8zu %9.1f %8zu %8zu %8zu %8zu %8zu\n", key.c_str(),
+                s.attempts, s.served, s.full, s.failed, s.lost, s.unconnected, s.calledOff,
                 s.served ? static_cast<double>(s.takenUs) / 1000 / static_cast<double>(s.served) : 0.0,
-                static_cast<unsigned long long>(s.requests), static_cast<unsigned long long>(s.answered),
-                static_cast<unsigned long long>(s.refused), static_cast<unsigned long long>(s.unsent),
-                static_cast<unsigned long long>(s.errored));
+                s.requests, s.answered, s.refused, s.unsent, s.errored);
 }
 
 int showAudit(const trace::Join& join, const trace::AuditSettings& settings) {
@@ -88,8 +84,7 @@
   for (const trace::Finding& f : findings) {
     ++kinds[trace::name(f.kind)];
     if (++shown <= kFindingsShown)
-      std::printf("%lld %s %s %s: %s\n", static_cast<long long>(f.at),
-                  std::string(trace::name(f.kind)).c_str(), f.gateway.c_str(),
+      std::printf("%lld %s %s %s: %s\n", static_cast<long long>(f.at), trace::name(f.kind), f.gateway.c_str(),
                   f.id.empty() ? "-" : f.id.c_str(), f.text.c_str());
   }
   if (shown > kFindingsShown) std::printf("and %zu more\n", shown - kFindingsShown);
@@ -132,8 +127,7 @@
   CLI::App* command = app.add_subcommand("trace", "logs of attempts of many gateways, put together");
   command->add_option("files", o->files, "logs that [trace] had written, or standard error's")->required();
   command->add_option("--id", o->ids, "one request's way through all gateways; more than once for more");
-  command->add_option("--by", o->by, "sums by host, second, gateway or class")
-      ->check(CLI::IsMember({"host", "second", "gateway", "class"}));
+  command->add_option("--by", o->by, "sums by host, second, gateway or class")->check(CLI::IsMember(kBy));
   command->add_flag("--audit", o->audit, "what the lines show of the rules; findings end with code 3");
   command->add_option("--slack", o->slack, "by which each time limit is longer")->capture_default_str();
   command->add_option("--grace", o->grace, "in which a draining host may still be sent to")
--- a/src/app/trace_file.cpp
+++ b/src/app/trace_file.cpp
@@ -64,28 +64,29 @@
       lines.swap(waiting_);
       last = ending_;
     }
-    if (!lines.empty()) put(lines);
+    if (!lines.empty()) put(std::move(lines));
     if (last) return;
   }
 }
 
 // Danger: a block that could not be written whole leaves half a line, and the next one would be read as the
 // rest of it.
-void TraceFile::put(const std::string& lines) {
-  const std::string all = (torn_ ? "\n" : "") + lines;
+void TraceFile::put(std::string&& lines) {
+  const std::size_t mend = torn_ ? 1 : 0;  // a line feed that ends nobody's line
+  lines.insert(0, mend, '\n');
   std::size_t done = 0;
-  while (done < all.size()) {
-    const ssize_t n = ::write(fd_, all.data() + done, all.size() - done);
+  while (done < lines.size()) {
+    const ssize_t n = ::write(fd_, lines.data() + done, lines.size() - done);
     if (n < 0 && errno == EINTR) continue;
     if (n <= 0) break;
     done += static_cast<std::size_t>(n);
   }
   size_ += done;
-  torn_ = done > 0 ? all[done - 1] != '\n' : torn_;
-  if (done < all.size()) {
-    const auto lost = std::count(all.begin() + static_cast<std::ptrdiff_t>(done), all.end(), '\n');
+  if (done > 0) torn_ = lines[done - 1] != '\n';
+  if (done < lines.size()) {
+    const auto from = static_cast<std::ptrdiff_t>(std::max(done, mend));
     const std::lock_guard lock(mutex_);
-    lost_ += static_cast<std::uint64_t>(lost);
+    lost_ += static_cast<std::uint64_t>(std::count(lines.begin() + from, lines.end(), '\n'));
   }
   if (path_.empty() || size_ < most_) return;
   // The file that could not be put aside goes on growing: better too long than not written.
--- a/src/app/trace_file.hpp
+++ b/src/app/trace_file.hpp
@@ -28,7 +28,7 @@
 
  private:
   void work();
-  void put(const std::string& lines);
+  void put(std::string&& lines);
   void openFile();
 
   const std::string path_;
--- a/src/app/trace_log.cpp
+++ b/src/app/trace_log.cpp
@@ -1,7 +1,8 @@
 #include "app/trace_log.hpp"
 
 #include <algorithm>
-#include <utility>
+
+#include "base/file_name.hpp"
 
 namespace finchstile {
 namespace {
@@ -14,24 +15,17 @@
 constexpr std::chrono::milliseconds kFlush(200);
 constexpr std::size_t kFlushBytes = 64 * 1024;
 
-// A name is any bytes, a file's name is not.
-std::string fileFor(std::string path, std::string gateway) {
-  std::replace(gateway.begin(), gateway.end(), '/', '_');
+std::string fileFor(std::string path, const std::string& gateway) {
+  const std::string name = fileNameOf(gateway);
   static constexpr std::string_view kName = "{name}";
-  for (std::size_t at = path.find(kName); at != std::string::npos; at = path.find(kName, at + gateway.size()))
-    path.replace(at, kName.size(), gateway);
+  for (std::size_t at = path.find(kName); at != std::string::npos; at = path.find(kName, at + name.size()))
+    path.replace(at, kName.size(), name);
   return path;
 }
 
 Ran ranOf(Outcome outcome) {
-  switch (outcome) {
-    case Outcome::served:
-    case Outcome::rejected: return Ran::yes;
-    case Outcome::full:
-    case Outcome::connectFailed:
-    case Outcome::moot: return Ran::no;
-    default: return Ran::maybe;
-  }
+  if (!ridgeshift::mayHaveRun(outcome)) return Ran::no;
+  return outcome == Outcome::served || outcome == Outcome::rejected ? Ran::yes : Ran::maybe;
 }
 
 Why whyOf(const AttemptSeen& a) {
@@ -78,12 +72,18 @@
   return since == Time{} ? trace::kNever : inMs(std::max(at - since, ridgeshift::Duration{}));
 }
 
+void TraceLog::describe(trace::About& about, std::string_view id,
+                        const ridgeshift::ClassSettings& type) const {
+  about.gateway = gateway_;
+  about.id = id;
+  about.className = type.name;
+  about.effect = type.effect;
+}
+
 void TraceLog::onAttempt(const AttemptSeen& a) {
   if (!trace::chosen(a.id, settings_.share)) return;
   trace::AttemptLine line;
-  line.gateway = gateway_;
-  line.id = a.id;
-  line.className = a.type.name;
+  describe(line, a.id, a.type);
   line.host = a.host;
   line.zone = a.zone;
   line.cell = a.cell;
@@ -91,29 +91,25 @@
   line.begun = unixUs(a.begun);
   line.ended = unixUs(clock_.now());
   line.number = a.number;
-  line.effect = a.type.effect;
   line.group = a.type.group;
   line.window = inMs(a.type.window);
   line.outcome = a.outcome;
   line.why = whyOf(a);
   line.ran = ranOf(a.outcome);
-  line.word = ageMs(a.word, a.sent);
-  line.heard = ageMs(a.heard, a.sent);
-  line.up = std::max(ageMs(a.upSince, a.sent), std::int64_t{0});
-  line.avoided = a.avoided;
+  line.word = ageMs(a.known.word, a.sent);
+  line.heard = ageMs(a.known.heard, a.sent);
+  line.up = std::max(ageMs(a.known.upSince, a.sent), std::int64_t{0});
+  line.avoided = a.known.avoided;
   add(line);
 }
 
 void TraceLog::onRequest(const RequestSeen& r) {
   if (!trace::chosen(r.id, settings_.share)) return;
   trace::RequestLine line;
-  line.gateway = gateway_;
-  line.id = r.id;
-  line.className = r.type.name;
+  describe(line, r.id, r.type);
   line.came = unixUs(r.came);
   line.ended = unixUs(clock_.now());
   line.left = inMs(r.left);
-  line.effect = r.type.effect;
   line.end = endOf(r.end);
   line.status = r.status;
   line.attempts = static_cast<std::uint32_t>(r.attempts);
@@ -130,10 +126,6 @@
   flush();
 }
 
-std::string TraceLog::summary() const {
-  return "trace written=" + std::to_string(written_) + " left_out=" + std::to_string(leftOut_);
-}
-
 void TraceLog::add(const trace::Line& line) {
   if (!budget_.take(clock_.now())) return;
   trace::append(lines_, line);
@@ -141,6 +133,11 @@
   if (lines_.size() >= kFlushBytes) flush();
 }
 
+// Danger: it may go to standard error, among the lines; it must be none of them.
+std::string TraceLog::summary() const {
+  return "attempt_log written=" + std::to_string(written_) + " left_out=" + std::to_string(leftOut_);
+}
+
 // Danger: lines that are missing without a word would make a fault of ours look like none, or like one.
 void TraceLog::flush() {
   budget_.drop(file_.takeLost());
--- a/src/app/trace_log.hpp
+++ b/src/app/trace_log.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <string>
+#include <string_view>
 
 #include "app/trace_file.hpp"
 #include "net/attempts.hpp"
@@ -29,6 +30,7 @@
   std::string summary() const;
 
  private:
+  void describe(trace::About& about, std::string_view id, const ridgeshift::ClassSettings& type) const;
   void add(const trace::Line& line);
   void flush();
   void waitToFlush();
--- a/src/net/attempts.hpp
+++ b/src/net/attempts.hpp
@@ -11,20 +11,25 @@
 
 namespace finchstile {
 
-// Views hold during the call only. A time of 0: never.
+// What was known of a host as it was chosen: the list's last word, its last sign of life, its start, and
+// whether the module avoided it. A time of 0: never.
+struct HostKnown {
+  ridgeshift::Time word{}, heard{}, upSince{};
+  bool avoided = false;
+};
+
+// Views hold during the call only.
 struct AttemptSeen {
   std::string_view id;  // the client's
   const ridgeshift::ClassSettings& type;
   std::uint32_t number = 0;  // from 0
   std::string_view host, zone;
   std::int64_t cell = 0;
-  ridgeshift::Time sent{}, begun{};  // chosen; its first byte went out
+  ridgeshift::Time sent{}, begun{};  // chosen; its first byte went out, 0: it did not
   ridgeshift::Outcome outcome{};
   bool byLimit = false;  // its time was up
   bool over = false;     // its request had ended
-  // What was known as the host was chosen.
-  ridgeshift::Time word{}, heard{}, upSince{};
-  bool avoided = false;
+  HostKnown known;
 };
 
 struct RequestSeen {
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -397,15 +397,12 @@
   // comes with the last byte.
   const Time limit = r.arriving ? Time::max() : now + action.span;
   AttemptRecord& a = attempts_[id];
-  a = {action.request, action.attempt, action.host, now, limit, {}, {}, {}, {}, {}, false};
+  a = {action.request, action.attempt, action.host, now, limit, {}, {}, {}};
   limits_.emplace(limit, id);
   if (host == hosts_.end()) return;  // cannot be: the module knows only hosts that we named; times out
-  if (log_) {
-    const HostRecord& h = host->second;
-    a.word = h.word, a.heard = h.heard, a.upSince = h.listed.upSince,
-    a.avoided = balancer_.avoids(action.host);
-  }
-  pool_.send(id, action.host, host->second.endpoint, action.proveFirst);
+  const HostRecord& h = host->second;
+  if (log_) a.known = {h.word, h.heard, h.listed.upSince, balancer_.avoids(action.host)};
+  pool_.send(id, action.host, h.endpoint, action.proveFirst);
 }
 
 // The last look before the first byte: a wait for a connection may have outlived the request, its time, or
@@ -419,9 +416,10 @@
     return std::nullopt;
   const ClientRequest& from = *r->second.message;
   const bool whole = !r->second.arriving;
-  const auto left = std::chrono::duration_cast<milliseconds>(a->second.limit - clock_.now()).count();
+  const Time now = clock_.now();
+  const auto left = std::chrono::duration_cast<milliseconds>(a->second.limit - now).count();
   if (left <= 0) return std::nullopt;
-  a->second.begun = clock_.now();
+  a->second.begun = now;
   Outgoing out{UpstreamRequest(from.method(), from.target(), 11), whole};
   UpstreamRequest& to = out.message;
   if (from.method() == http::verb::unknown) to.method_string(from.method_string());
@@ -577,8 +575,8 @@
   limits_.erase({a.limit, id});
   --r.out;
   r.status = 101;
-  if (log_) note(a, r, Outcome::served, false);
   const auto host = hosts_.find(a.host);
+  if (log_ && host != hosts_.end()) note(a, host->second, r, Outcome::served, false);
   if (Exchange* const x = r.exchange.get()) {
     stages_.settled(*x, true);
     stages_.answerHead(*x, {101, true, &head, {}, {}, true, 0}, accepted->toClient);
@@ -623,13 +621,10 @@
   if (observer_ && host.heard < sent) observer_->onSilent(host.listed.address);
 }
 
-void Gateway::note(const AttemptRecord& a, const RequestRecord& r, Outcome outcome, bool byLimit) {
-  const auto host = hosts_.find(a.host);
-  static const HostRecord kForgotten;
-  const HostRecord& h = host == hosts_.end() ? kForgotten : host->second;
+void Gateway::note(const AttemptRecord& a, const HostRecord& h, const RequestRecord& r, Outcome outcome,
+                   bool byLimit) {
   log_->onAttempt({view((*r.message)["X-Correlation-Id"]), config_.settings.classes[r.classIndex], a.number,
-                   h.listed.address, h.zone, h.cell, a.sent, a.begun, outcome, byLimit, r.ended, a.word,
-                   a.heard, a.upSince, a.avoided});
+                   h.listed.address, h.zone, h.cell, a.sent, a.begun, outcome, byLimit, r.ended, a.known});
 }
 
 void Gateway::onOutcome(AttemptId id, Outcome outcome, UpstreamAnswer&& upstream) {
@@ -649,7 +644,7 @@
   if (host != hosts_.end()) observe(host->second, outcome, a.sent, byLimit);
   const auto r = requests_.find(a.request);
   if (r == requests_.end()) return;
-  if (log_) note(a, r->second, outcome, byLimit);
+  if (log_ && host != hosts_.end()) note(a, host->second, r->second, outcome, byLimit);
   --r->second.out;
   const Time now = clock_.now();
   ridgeshift::AttemptResult result;
@@ -666,8 +661,7 @@
       observer_->onReport(host->second.listed.address, *result.report);
   }
   if (Exchange* const x = r->second.exchange.get()) {
-    const bool may =
-        outcome != Outcome::connectFailed && outcome != Outcome::full && outcome != Outcome::moot;
+    const bool may = ridgeshift::mayHaveRun(outcome);
     r->second.ran |= may;
     x->mayHaveRun = r->second.ran || r->second.out > 0;
     stages_.settled(*x, may);
@@ -733,7 +727,8 @@
 void Gateway::learnHosts(const HostList& list, ListKind kind) {
   std::vector<ridgeshift::HostEntry> entries;
   for (const ListedHost& h : list.hosts) entries.push_back(inForce(h.entry));
-  balancer_.onHosts(clock_.now(), kind, entries);
+  const Time now = clock_.now();
+  balancer_.onHosts(now, kind, entries);
   std::vector<HostId> named;
   std::vector<std::pair<HostId, Phase>> changed;
   for (std::size_t i = 0; i < list.hosts.size(); ++i) {
@@ -748,7 +743,7 @@
     if (record.endpoint != h.endpoint) pool_.setOpen(id, false);
     // Another process at this name has shown no life yet.
     const Time heard = !fresh && record.listed.upSince == h.entry.upSince ? record.heard : Time{};
-    record = {h.endpoint, phase, h.entry, h.entry.zone, h.entry.cell, heard, clock_.now()};
+    record = {h.endpoint, phase, h.entry, h.entry.zone, h.entry.cell, heard, now};
     named.push_back(id);
   }
   std::sort(named.begin(), named.end());
@@ -761,10 +756,10 @@
     }
     pool_.setOpen(id, record.phase == Phase::in);
   }
-  for (const auto& [id, phase] : changed) {
-    for (Front* front : fronts_) front->onHost(id, phase);
-    if (log_) log_->onPhase(hosts_[id].listed.address, phase);
-  }
+  if (log_)
+    for (const auto& [id, phase] : changed) log_->onPhase(hosts_.at(id).listed.address, phase);
+  for (Front* front : fronts_)
+    for (const auto& [id, phase] : changed) front->onHost(id, phase);
   carryOut();
 }
 
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -115,10 +115,9 @@
     std::uint32_t number = 0;
     ridgeshift::HostId host = ridgeshift::kNone;
     Time sent{}, limit{};
-    Time head{};                      // when its answer began; 0: it has not
-    Time begun{};                     // when its first byte went out; 0: it has not
-    Time word{}, heard{}, upSince{};  // of the host as it was chosen
-    bool avoided = false;
+    Time head{};   // when its answer began; 0: it has not
+    Time begun{};  // when its first byte went out; 0: it has not
+    HostKnown known;
   };
   struct HostRecord {
     tcp::endpoint endpoint;
@@ -196,8 +195,8 @@
   void failOpen();
   void settle(AttemptId attempt, ridgeshift::Outcome outcome, UpstreamAnswer&& answer,
               std::optional<Parted> parted = {}, bool byLimit = false);
-  void note(const AttemptRecord& attempt, const RequestRecord& request, ridgeshift::Outcome outcome,
-            bool byLimit);
+  void note(const AttemptRecord& attempt, const HostRecord& host, const RequestRecord& request,
+            ridgeshift::Outcome outcome, bool byLimit);
   void endRelay(RelayId relay);
   void releaseIfOver(ridgeshift::RequestId request);
   void forgetHosts();
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -939,8 +939,7 @@
     --r.out;
     letGo(t);
     endStream(t);
-    if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
-      t.mayHaveRun = false;
+    if (!mayHaveRun(a.outcome)) t.mayHaveRun = false;
     judge(t, r, a);
     if (a.terminal && !r.ended) {
       r.ended = true;
--- a/src/trace/join.cpp
+++ b/src/trace/join.cpp
@@ -36,6 +36,16 @@
 
 bool wasOut(const AttemptLine& a) { return a.begun > 0; }
 
+Story sorted(Story s) {
+  std::sort(s.attempts.begin(), s.attempts.end(), [](const AttemptLine& a, const AttemptLine& b) {
+    return std::tie(a.sent, a.gateway, a.number) < std::tie(b.sent, b.gateway, b.number);
+  });
+  std::sort(s.requests.begin(), s.requests.end(), [](const RequestLine& a, const RequestLine& b) {
+    return std::tie(a.came, a.gateway, a.ended) < std::tie(b.came, b.gateway, b.ended);
+  });
+  return s;
+}
+
 // Of the times that a gateway took this id, the one that an attempt belongs to.
 const RequestLine* takenFor(const Story& s, const AttemptLine& a) {
   const RequestLine* found = nullptr;
@@ -46,7 +56,7 @@
 
 }  // namespace
 
-std::string_view name(Finding::Kind kind) {
+const char* name(Finding::Kind kind) {
   switch (kind) {
     case Finding::Kind::answeredTwice: return "answered_twice";
     case Finding::Kind::late: return "late";
@@ -79,51 +89,36 @@
 
 Story Join::story(const std::string& id) const {
   const auto it = stories_.find(id);
-  if (it == stories_.end()) return {};
-  Story s = it->second;
-  std::sort(s.attempts.begin(), s.attempts.end(), [](const AttemptLine& a, const AttemptLine& b) {
-    return std::tie(a.sent, a.gateway, a.number) < std::tie(b.sent, b.gateway, b.number);
-  });
-  std::sort(s.requests.begin(), s.requests.end(), [](const RequestLine& a, const RequestLine& b) {
-    return std::tie(a.came, a.gateway, a.ended) < std::tie(b.came, b.gateway, b.ended);
-  });
-  return s;
+  return it == stories_.end() ? Story{} : sorted(it->second);
+}
+
+// The process that a gateway was at a time; null if no start before it is known.
+template <class Of>
+auto Join::lifeAt(Of& all, const std::string& gateway, std::int64_t at) {
+  const auto lives = all.find(gateway);
+  decltype(lives->second.data()) found = nullptr;
+  if (lives == all.end()) return found;
+  for (auto& life : lives->second)
+    if (life.from <= at) found = &life;
+  return found;
 }
 
-std::map<std::string, Join::Lives> Join::lives() const {
-  std::map<std::string, Lives> all;
+Join::LivesOf Join::lives() const {
+  LivesOf all;
   for (const auto& [gateway, starts] : starts_) {
     std::vector<std::int64_t> at = starts;
     std::sort(at.begin(), at.end());
     for (const std::int64_t from : at) all[gateway].push_back({from, 0, 0, false});
   }
-  const auto lifeOf = [&](const std::string& gateway, std::int64_t at) -> Life* {
-    Life* found = nullptr;
-    const auto lives = all.find(gateway);
-    if (lives == all.end()) return found;
-    for (Life& life : lives->second)
-      if (life.from <= at) found = &life;
-    return found;
-  };
   for (const auto& [gateway, stops] : stops_)
     for (const StopLine& stop : stops)
-      if (Life* life = lifeOf(gateway, stop.at)) life->to = stop.at, life->open = stop.open;
+      if (Life* life = lifeAt(all, gateway, stop.at)) life->to = stop.at, life->open = stop.open;
   for (const auto& [gateway, gaps] : gaps_)
     for (const std::int64_t at : gaps)
-      if (Life* life = lifeOf(gateway, at)) life->gap = true;
+      if (Life* life = lifeAt(all, gateway, at)) life->gap = true;
   return all;
 }
 
-const Join::Life* Join::lifeAt(const std::map<std::string, Lives>& all, const std::string& gateway,
-                               std::int64_t at) {
-  const auto lives = all.find(gateway);
-  const Life* found = nullptr;
-  if (lives == all.end()) return found;
-  for (const Life& life : lives->second)
-    if (life.from <= at) found = &life;
-  return found;
-}
-
 // The last word on a host that this gateway had then. Those of an earlier process count too: the next one's
 // start tells it anew.
 const Join::Known* Join::knownAt(const std::string& gateway, const std::string& host, std::int64_t at) const {
@@ -135,10 +130,9 @@
   return found;
 }
 
-void Join::auditStory(const std::string& id, const AuditSettings& settings,
-                      const std::map<std::string, Lives>& lives, std::vector<Finding>& out) const {
+void Join::auditStory(const std::string& id, const Story& s, const AuditSettings& settings,
+                      const LivesOf& lives, std::vector<Finding>& out) const {
   using Kind = Finding::Kind;
-  const Story s = story(id);
   const auto find = [&](Kind kind, const std::string& gateway, std::int64_t at, std::string text) {
     out.push_back({kind, gateway, id, at, std::move(text)});
   };
@@ -152,8 +146,8 @@
     const std::int64_t due = r.came + r.left * 1000;
     if (r.ended > due + settings.slackUs)
       find(Kind::late, r.gateway, r.ended,
-           printed("%s %.1f ms after its client's time of %lld ms", std::string(name(r.end)).c_str(),
-                   ms(r.ended - due), static_cast<long long>(r.left)));
+           printed("%s %.1f ms after its client's time of %lld ms", name(r.end), ms(r.ended - due),
+                   static_cast<long long>(r.left)));
   }
   for (std::size_t i = 0; i < s.attempts.size(); ++i) {
     const AttemptLine& a = s.attempts[i];
@@ -165,7 +159,7 @@
     } else if (wasOut(a) && a.begun > taken->ended) {
       find(Kind::sentAfterAnswer, a.gateway, a.begun,
            printed("to %s, %.1f ms after it was %s", a.host.c_str(), ms(a.begun - taken->ended),
-                   std::string(name(taken->end)).c_str()));
+                   name(taken->end)));
     }
     if (taken && taken->end == End::refused && a.ran != Ran::no && a.effect != Effect::retryable &&
         !(a.effect == Effect::dedup && a.group == Group::all))
@@ -176,8 +170,8 @@
       if (const Known* known = knownAt(a.gateway, a.host, a.begun);
           known && known->phase != Phase::in && a.begun > known->at + settings.graceUs + settings.slackUs)
         find(Kind::sentToDraining, a.gateway, a.begun,
-             printed("%s was known as %s for %.1f ms", a.host.c_str(),
-                     std::string(name(known->phase)).c_str(), ms(a.begun - known->at)));
+             printed("%s was known as %s for %.1f ms", a.host.c_str(), name(known->phase),
+                     ms(a.begun - known->at)));
     for (std::size_t j = 0; j < i; ++j) {
       const AttemptLine& first = s.attempts[j];
       if (!wasOut(a) || !wasOut(first)) continue;
@@ -196,7 +190,7 @@
 std::vector<Finding> Join::audit(const AuditSettings& settings) const {
   std::vector<Finding> out;
   const auto all = lives();
-  for (const auto& [id, story] : stories_) auditStory(id, settings, all, out);
+  for (const auto& [id, story] : stories_) auditStory(id, sorted(story), settings, all, out);
   for (const auto& [gateway, lives] : all)
     for (const Life& life : lives)
       if (life.open > 0)
@@ -265,8 +259,7 @@
                         a.gateway.c_str(), a.number, a.host.c_str(), a.zone.c_str(), age(a.word).c_str(),
                         age(a.heard).c_str(), static_cast<long long>(a.up), a.avoided ? ", avoided" : ""));
     std::string what = printed("%s attempt %u: %s by %s, ran: %s", a.gateway.c_str(), a.number,
-                               std::string(name(a.outcome)).c_str(), std::string(name(a.why)).c_str(),
-                               std::string(name(a.ran)).c_str());
+                               name(a.outcome), name(a.why), name(a.ran));
     what += wasOut(a) ? printed(", first byte %.1f ms after its choice", ms(a.begun - a.sent))
                       : std::string(", no byte went out");
     events.emplace_back(a.ended, what);
--- a/src/trace/join.hpp
+++ b/src/trace/join.hpp
@@ -42,12 +42,12 @@
   std::int64_t at = 0;  // when it happened
   std::string text;     // what was seen, with the figures
 };
-std::string_view name(Finding::Kind kind);
+const char* name(Finding::Kind kind);
 
 struct Sum {
-  std::uint64_t attempts = 0, served = 0, full = 0, failed = 0, lost = 0, unconnected = 0, calledOff = 0;
+  std::size_t attempts = 0, served = 0, full = 0, failed = 0, lost = 0, unconnected = 0, calledOff = 0;
   std::uint64_t takenUs = 0;  // of those served
-  std::uint64_t requests = 0, answered = 0, refused = 0, unsent = 0, errored = 0, left = 0;
+  std::size_t requests = 0, answered = 0, refused = 0, unsent = 0, errored = 0, left = 0;
 };
 
 class Join {
@@ -77,11 +77,13 @@
   };
   using Lives = std::vector<Life>;
 
-  std::map<std::string, Lives> lives() const;
-  static const Life* lifeAt(const std::map<std::string, Lives>& all, const std::string& gateway,
-                            std::int64_t at);
-  void auditStory(const std::string& id, const AuditSettings& settings,
-                  const std::map<std::string, Lives>& lives, std::vector<Finding>& out) const;
+  using LivesOf = std::map<std::string, Lives>;  // by gateway
+
+  LivesOf lives() const;
+  template <class Of>  // LivesOf, const or not
+  static auto lifeAt(Of& all, const std::string& gateway, std::int64_t at);
+  void auditStory(const std::string& id, const Story& story, const AuditSettings& settings,
+                  const LivesOf& lives, std::vector<Finding>& out) const;
   const Known* knownAt(const std::string& gateway, const std::string& host, std::int64_t at) const;
 
   std::unordered_map<std::string, Story> stories_;
--- a/src/trace/line.cpp
+++ b/src/trace/line.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kLineMost = 16 * 1024;  // longer than any that is written
 
 template <class E, std::size_t N>
-using Names = std::array<std::pair<E, std::string_view>, N>;
+using Names = std::array<std::pair<E, const char*>, N>;
 
 constexpr Names<Outcome, 9> kOutcomes{{{Outcome::served, "served"},
                                        {Outcome::error, "error"},
@@ -42,7 +42,7 @@
 constexpr Names<Phase, 3> kPhases{{{Phase::in, "in"}, {Phase::draining, "draining"}, {Phase::out, "out"}}};
 
 template <class E, std::size_t N>
-std::string_view nameIn(const Names<E, N>& names, E value) {
+const char* nameIn(const Names<E, N>& names, E value) {
   for (const auto& [e, text] : names)
     if (e == value) return text;
   return "unknown";
@@ -132,9 +132,14 @@
   std::string problem_;
 };
 
-void write(std::string& to, const AttemptLine& a) {
-  Writer w(to, "attempt");
+Writer about(std::string& to, std::string_view kind, const About& a) {
+  Writer w(to, kind);
   w.text("gw", a.gateway).text("id", a.id).text("class", a.className).raw("effect", name(a.effect));
+  return w;
+}
+
+void write(std::string& to, const AttemptLine& a) {
+  Writer w = about(to, "attempt", a);
   w.number("try", a.number).text("host", a.host).text("zone", a.zone).number("cell", a.cell);
   w.number("sent", a.sent).number("begun", a.begun).number("ended", a.ended);
   w.raw("outcome", name(a.outcome)).raw("why", name(a.why)).raw("ran", name(a.ran));
@@ -143,8 +148,7 @@
   if (a.effect == Effect::dedup) w.raw("group", nameIn(kGroups, a.group)).number("window_ms", a.window);
 }
 void write(std::string& to, const RequestLine& r) {
-  Writer w(to, "request");
-  w.text("gw", r.gateway).text("id", r.id).text("class", r.className).raw("effect", name(r.effect));
+  Writer w = about(to, "request", r);
   w.number("came", r.came).number("ended", r.ended).number("left_ms", r.left).raw("end", name(r.end));
   w.number("status", r.status).number("attempts", r.attempts).number("cut", r.cut);
 }
@@ -167,12 +171,25 @@
 
 constexpr std::int64_t kNoTime = 0;
 
-AttemptLine readAttempt(Fields& f) {
-  AttemptLine a;
+void readAbout(Fields& f, About& a) {
   f.text("gw", a.gateway);
   f.text("id", a.id);
   f.text("class", a.className);
   f.one("effect", kEffects, a.effect);
+}
+
+// The lines that are about a process as a whole.
+template <class Mark>
+Mark readMark(Fields& f) {
+  Mark m;
+  f.text("gw", m.gateway);
+  f.number("at", m.at, kNoTime);
+  return m;
+}
+
+AttemptLine readAttempt(Fields& f) {
+  AttemptLine a;
+  readAbout(f, a);
   f.number("try", a.number, std::uint32_t{0});
   f.text("host", a.host);
   f.text("zone", a.zone);
@@ -198,10 +215,7 @@
 
 RequestLine readRequest(Fields& f) {
   RequestLine r;
-  f.text("gw", r.gateway);
-  f.text("id", r.id);
-  f.text("class", r.className);
-  f.one("effect", kEffects, r.effect);
+  readAbout(f, r);
   f.number("came", r.came, kNoTime);
   f.number("ended", r.ended, kNoTime);
   f.number("left_ms", r.left, kNoTime);
@@ -214,12 +228,12 @@
 
 }  // namespace
 
-std::string_view name(Outcome outcome) { return nameIn(kOutcomes, outcome); }
-std::string_view name(Why why) { return nameIn(kWhys, why); }
-std::string_view name(Ran ran) { return nameIn(kRans, ran); }
-std::string_view name(End end) { return nameIn(kEnds, end); }
-std::string_view name(Effect effect) { return nameIn(kEffects, effect); }
-std::string_view name(Phase phase) { return nameIn(kPhases, phase); }
+const char* name(Outcome outcome) { return nameIn(kOutcomes, outcome); }
+const char* name(Why why) { return nameIn(kWhys, why); }
+const char* name(Ran ran) { return nameIn(kRans, ran); }
+const char* name(End end) { return nameIn(kEnds, end); }
+const char* name(Effect effect) { return nameIn(kEffects, effect); }
+const char* name(Phase phase) { return nameIn(kPhases, phase); }
 
 void append(std::string& to, const Line& line) {
   std::visit([&](const auto& l) { write(to, l); }, line);
@@ -248,20 +262,13 @@
     f.one("phase", kPhases, h.phase);
     out.line = h;
   } else if (kind == "start") {
-    StartLine s;
-    f.text("gw", s.gateway);
-    f.number("at", s.at, kNoTime);
-    out.line = s;
+    out.line = readMark<StartLine>(f);
   } else if (kind == "stop") {
-    StopLine s;
-    f.text("gw", s.gateway);
-    f.number("at", s.at, kNoTime);
+    auto s = readMark<StopLine>(f);
     f.number("open", s.open, std::uint64_t{0});
     out.line = s;
   } else if (kind == "gap") {
-    GapLine g;
-    f.text("gw", g.gateway);
-    f.number("at", g.at, kNoTime);
+    auto g = readMark<GapLine>(f);
     f.number("lines", g.lines, std::uint64_t{0});
     out.line = g;
   } else {
--- a/src/trace/line.hpp
+++ b/src/trace/line.hpp
@@ -31,13 +31,17 @@
 
 enum class End { served, refused, failed, rejected, left };
 
-struct AttemptLine {
-  std::string gateway, id, className, host, zone;
+struct About {  // one request at one gateway
+  std::string gateway, id, className;
+  Effect effect = Effect::fragile;
+};
+
+struct AttemptLine : About {
+  std::string host, zone;
   std::int64_t sent = 0, ended = 0;
   std::int64_t begun = 0;  // when its first byte went out; 0: none did
   std::uint32_t number = 0;
   std::int64_t cell = 0;
-  Effect effect = Effect::fragile;
   Group group = Group::all;  // of a keyed class: which hosts drop repeats together,
   std::int64_t window = 0;   // and for how long
   Outcome outcome = Outcome::moot;
@@ -49,11 +53,9 @@
   bool avoided = false;
 };
 
-struct RequestLine {
-  std::string gateway, id, className;
+struct RequestLine : About {
   std::int64_t came = 0, ended = 0;
   std::int64_t left = 0;  // that its client would wait, as it came
-  Effect effect = Effect::fragile;
   End end = End::failed;
   std::uint32_t status = 0;  // 0: its client had gone
   std::uint32_t attempts = 0;
@@ -85,12 +87,12 @@
 
 using Line = std::variant<AttemptLine, RequestLine, HostLine, StartLine, StopLine, GapLine>;
 
-std::string_view name(Outcome outcome);
-std::string_view name(Why why);
-std::string_view name(Ran ran);
-std::string_view name(End end);
-std::string_view name(Effect effect);
-std::string_view name(Phase phase);
+const char* name(Outcome outcome);
+const char* name(Why why);
+const char* name(Ran ran);
+const char* name(End end);
+const char* name(Effect effect);
+const char* name(Phase phase);
 
 // Appends it to `to`, with its line feed. Names may hold any bytes: what is not visible ASCII is
 // percent-encoded.
--- a/tests/app/trace_test.cpp
+++ b/tests/app/trace_test.cpp
@@ -1,5 +1,6 @@
 // The log of attempts in the program: a gateway with hosts of the test's own, what it writes, and the file
 // that fills up, can't be opened, or is slow.
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 #include <csignal>
@@ -19,6 +20,7 @@
 
 struct Logs {
   Join join;
+  std::vector<trace::Line> lines;
   std::size_t bad = 0;
   std::map<std::string, std::size_t> kinds;
 };
@@ -29,7 +31,7 @@
   for (std::string line; std::getline(file, line);) {
     const trace::Parsed p = trace::parse(line);
     out.bad += p.kind == trace::Parsed::Kind::bad;
-    if (p.kind == trace::Parsed::Kind::line) out.join.add(p.line);
+    if (p.kind == trace::Parsed::Kind::line) out.join.add(p.line), out.lines.push_back(p.line);
     ++out.kinds[line.substr(0, line.find(' ', 6))];
   }
   return out;
@@ -120,17 +122,11 @@
   const auto late = client();
   EXPECT_NE(ask(*late, "POST", "/book", "x"), 200);  // its time is up
   ASSERT_TRUE(until([&] { return gateway->openRequests() == 0; }));
-  gateway.reset();
-  log.reset();
-  std::ifstream file(folder / "trace-n_1");
   std::vector<trace::AttemptLine> attempts;
   std::vector<trace::RequestLine> requests;
-  for (std::string line; std::getline(file, line);) {
-    const trace::Parsed p = trace::parse(line);
-    if (const auto* a = std::get_if<trace::AttemptLine>(&p.line); a && p.kind == trace::Parsed::Kind::line)
-      attempts.push_back(*a);
-    if (const auto* r = std::get_if<trace::RequestLine>(&p.line); r && p.kind == trace::Parsed::Kind::line)
-      requests.push_back(*r);
+  for (const trace::Line& line : ended().lines) {
+    if (const auto* a = std::get_if<trace::AttemptLine>(&line)) attempts.push_back(*a);
+    if (const auto* r = std::get_if<trace::RequestLine>(&line)) requests.push_back(*r);
   }
   ASSERT_GE(attempts.size(), 2u);
   EXPECT_EQ(attempts[0].why, trace::Why::over);
@@ -189,6 +185,12 @@
   EXPECT_EQ(all.join.missing(), 0u);
 }
 
+// Lines and what else the program says share standard error, unless a file is named.
+TEST_F(TraceTest, WhatTheProgramSaysOfTheLogIsNoLineOfIt) {
+  startTraced();
+  EXPECT_EQ(trace::parse(log->summary()).kind, trace::Parsed::Kind::other) << log->summary();
+}
+
 // --- The file
 // -----------------------------------------------------------------------------------------------
 
@@ -213,6 +215,37 @@
   EXPECT_EQ(lost, 2u);
 }
 
+// A disk that fills up in the midst of a line: what comes when there is room again begins a line of its own,
+// and each line that is not there is counted once.
+TEST(TraceFile, HalfALineIsEndedBeforeTheNext) {
+  std::signal(SIGXFSZ, SIG_IGN);
+  Folder folder;
+  TraceFile f(folder / "log", 1 << 20, 1 << 20);
+  const auto lost = [&](const std::string& lines, std::uint64_t count) {
+    EXPECT_TRUE(f.write(lines));
+    std::uint64_t n = 0;
+    for (int i = 0; i < 2000 && n < count; ++i) {
+      n += f.takeLost();
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return n;
+  };
+  rlimit before{};
+  ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &before), 0);
+  const rlimit full{10, before.rlim_max};
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &full), 0);
+  const std::uint64_t torn = lost("one\ntwo\nthree\n", 1), none = lost("four\n", 1);
+  const std::uint64_t late = f.takeLost();
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &before), 0);
+  EXPECT_EQ(torn, 1u);
+  EXPECT_EQ(none + late, 1u);
+  ASSERT_TRUE(f.write("five\n"));
+  const std::string whole = "one\ntwo\nth\nfive\n";
+  for (int i = 0; i < 2000 && readFile(folder / "log").size() < whole.size(); ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  EXPECT_EQ(readFile(folder / "log"), whole);
+}
+
 TEST(TraceFile, GoesOnBehindWhatIsThereAndIsPutAsideAtItsSize) {
   Folder folder;
   folder.write("log", "before\n");
