A drain by a plan: a margin before the kill, lag counted, half a request refused in time

Need: all late requests of a rolling release rested on 0.1 s between the exit and SIGKILL, counted from when the handler ran.

The signal counts from when the loop's timer was due. At the last call a request that is half here is refused: its last byte could come after the loop's last look and find nobody.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -204,6 +204,16 @@
   });
 }
 
+void Listener::refuseHalf() {
+  for (const State state : {State::fresh, State::reading}) {
+    const std::vector<std::shared_ptr<ClientSession>> all(in(state).begin(), in(state).end());
+    for (const auto& session : all)
+      // Two writes at once would mix.
+      if (session->state_ == state && session->begun_ && !session->continuing_)
+        session->refuse(http::status::service_unavailable);
+  }
+}
+
 void Listener::close() {
   draining_ = true;
   if (!acceptor_.is_open()) return;
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -88,6 +88,8 @@
   void handOver(std::function<bool(int fd)> give) { give_ = std::move(give); }
   // A connection of a client at rest, from another process; the descriptor is ours, also if it is of no use.
   void adopt(int fd);
+  // Answers what has come in part with a refusal, and ends its connection: its last byte would find nobody.
+  void refuseHalf();
   void close();  // takes in what waits in the accept queue, then stops accepting
   bool draining() const { return draining_ || away_ != Time{}; }
   bool closesAfterAnswer() const { return draining() && !give_; }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -24,15 +24,9 @@
 
 constexpr Duration kHousekeep = milliseconds(250);
 constexpr Duration kHousekeepDrain = milliseconds(20);
-constexpr Duration kAcceptAfterStop = milliseconds(600);  // fronts go on sending for a while
 // The front notices, and clients that use their connections once more learn of it from the answer. Beyond
 // this a connection at rest is closed.
 constexpr Duration kRestAfterAway = milliseconds(1200);
-// The platform ends a process 0.7 s after the longest deadline, of which it counts so much at most. Danger: a
-// drain by the whole of a longer one is cut off with its requests unanswered.
-constexpr Duration kLongestCounted = seconds(3);
-constexpr Duration kExitAfterLongest = milliseconds(600);
-constexpr Duration kLastCall = milliseconds(60);  // before the exit: what is still open is failed
 constexpr Duration kWatchMost = seconds(20);
 constexpr Duration kSilence = milliseconds(1500);
 constexpr double kStallOfAim = 0.25;
@@ -106,23 +100,19 @@
 }
 
 void Gateway::drain(std::function<void()> done) {
-  if (draining_) return;
-  draining_ = true;
+  if (plan_) return;
   done_ = std::move(done);
-  const Time now = clock_.now();
-  const Duration longest = std::min(longestGiveUp(config_.settings), kLongestCounted);
-  housekeepAt_ = now;
-  exitAt_ = now + longest + kExitAfterLongest;
-  acceptUntil_ = closeListenerAt_ = now + kAcceptAfterStop;
+  // Danger: a loop that comes late finds the signal late too, and the platform's time runs since it was sent.
+  const Time told = clock_.now() - std::max(lagNow(), overdue());
+  plan_.emplace(told, drain::Terms{longestGiveUp(config_.settings), config_.tuning.serveDraining,
+                                   listener_.inherited()});
+  housekeepAt_ = clock_.now();
   if (listener_.inherited()) {  // who shares it takes what comes there from now on
     listener_.beginDrain();
     listener_.close();
-    listener_.sendAway(now + kRestAfterAway);
-  } else {
-    serveUntil_ = now + std::min(config_.tuning.serveDraining, longest);
-    closeListenerAt_ = std::max(closeListenerAt_, serveUntil_);
+    listener_.sendAway(told + kRestAfterAway);
   }
-  for (Front* front : fronts_) front->onDrain(exitAt_);
+  for (Front* front : fronts_) front->onDrain(plan_->exit());
   armTimer();
 }
 
@@ -139,13 +129,14 @@
     answer(id, RequestEnd::failed, plainAnswer(http::status::bad_gateway));
     if (!held) balancer_.onClientGone(clock_.now(), id);
   }
+  listener_.refuseHalf();
   carryOut();
 }
 
 void Gateway::handOver(std::function<bool(int)> give) {
   const bool ends = !give;
   listener_.handOver(std::move(give));
-  if (ends && draining_) listener_.sendAway(clock_.now() + kRestAfterAway);
+  if (ends && plan_) listener_.sendAway(clock_.now() + kRestAfterAway);
 }
 
 void Gateway::recall(const ridgeshift::Learned& learned) {
@@ -153,15 +144,15 @@
   carryOut();
 }
 
-bool Gateway::ready() const { return !draining_ && !away_ && !hosts_.empty(); }
+bool Gateway::ready() const { return !plan_ && !away_ && !hosts_.empty(); }
 
 void Gateway::sendAway() {
-  if (std::exchange(away_, true) || draining_) return;
+  if (std::exchange(away_, true) || plan_) return;
   listener_.sendAway(clock_.now() + kRestAfterAway);
 }
 
 void Gateway::takeBack() {
-  if (!std::exchange(away_, false) || draining_) return;
+  if (!std::exchange(away_, false) || plan_) return;
   listener_.takeBack();
 }
 
@@ -906,12 +897,18 @@
   });
 }
 
+// How late the loop is with its timer: what it deals with now may have waited as long.
+Duration Gateway::overdue() const {
+  return armed_ == Time{} ? Duration{} : std::max(clock_.now() - armed_, Duration{});
+}
+
 // How late the loop may have come to what it now reads.
 Duration Gateway::lagNow() const { return clock_.now() < lagUntil_ ? lag_ : Duration{}; }
 
 void Gateway::onTimer() {
   const Time now = clock_.now();
-  if (now - armed_ > kLagLeast) lag_ = now - armed_, lagUntil_ = now + kLagKept;
+  if (overdue() > kLagLeast) lag_ = overdue(), lagUntil_ = now + kLagKept;
+  if (plan_) plan_->onLag(overdue());
   armed_ = Time{};
   while (!limits_.empty() && limits_.begin()->first <= now) {
     const AttemptId id = limits_.begin()->second;
@@ -937,19 +934,20 @@
 
 void Gateway::housekeep(Time now) {
   forgetHosts();
-  housekeepAt_ = now + (draining_ ? kHousekeepDrain : kHousekeep);
+  housekeepAt_ = now + (plan_ ? kHousekeepDrain : kHousekeep);
   listener_.sweep();
   pool_.sweep();
   // Danger: what discovery pushes counts as told during a drain too, whether or not a watch is open.
   if (!config_.settings.askDiscovery) discovery_.watch();
-  if (!draining_) return;
+  if (!plan_) return;
   // Danger: an answer that closes its connection sends its client to a front that may have no other gateway.
-  if (now >= serveUntil_) listener_.beginDrain();
-  if (now >= exitAt_ - kLastCall && done_) failOpen();
-  const bool nobody = listener_.size() == 0 && now >= acceptUntil_;
-  if (now < closeListenerAt_ && !nobody) return;
+  if (now >= plan_->serveUntil()) listener_.beginDrain();
+  if (now >= plan_->lastCall() && done_) failOpen();
+  const bool nobody = listener_.size() == 0 && now >= plan_->acceptUntil();
+  if (now < plan_->closeListener() && !nobody) return;
   listener_.close();
-  if (((listener_.size() == 0 && frontsIdle()) || now >= exitAt_) && done_) std::exchange(done_, nullptr)();
+  if (((listener_.size() == 0 && frontsIdle()) || now >= plan_->exit()) && done_)
+    std::exchange(done_, nullptr)();
 }
 
 }  // namespace finchstile
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -16,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "drain/plan.hpp"
 #include "net/attempts.hpp"
 #include "net/client.hpp"
 #include "net/clock.hpp"
@@ -171,6 +173,7 @@
   ridgeshift::Phase phaseOf(ridgeshift::HostId host) const override;
 
   Duration lagNow() const;
+  Duration overdue() const;
   bool answerOwnPaths(ClientSession& session, const ClientRequest& message);
   void observe(HostRecord& host, ridgeshift::Outcome outcome, Time sent, bool byLimit);
   void learnHosts(const HostList& list, ridgeshift::ListKind kind);
@@ -218,9 +221,9 @@
   std::uint64_t reports_ = 0, spoiltReports_ = 0;
   Discovery discovery_;
   boost::asio::steady_timer timer_;
-  Time armed_{}, wake_{}, housekeepAt_{}, closeListenerAt_{}, exitAt_{};
-  Time acceptUntil_{}, serveUntil_{};  // of a drain
-  Duration lag_{};                     // how late the loop has lately been, for what is read until
+  Time armed_{}, wake_{}, housekeepAt_{};
+  std::optional<drain::Plan> plan_;  // while draining
+  Duration lag_{};                   // how late the loop has lately been, for what is read until
   Time lagUntil_{};
 
   RequestReader reader_;
@@ -240,7 +243,7 @@
   std::vector<AttemptId> givenUp_;  // called off by the module, result still to be told
   ridgeshift::RequestId lastRequest_ = 0;
   AttemptId lastAttempt_ = 0;
-  bool carrying_ = false, draining_ = false, away_ = false;
+  bool carrying_ = false, away_ = false;
   std::function<void()> done_;
 };
 
