Bounds on lists are 1,024 and more and none is silent; the model's rules have a checker

Need: no cap below 1,024 on lists of gateways or hosts. Three were silent: classes and tenants past item 1,000 (settings.cpp, kMost) were passed over and their requests turned away as unusable; what a handover says was cut at 60,000 bytes, some 700 hosts in the order of the table; hosts past the module's 65,535 places.

Change: 4,096 classes and tenants, more end the start with a line; 4,096 peers, and their list is read in linear time; a handover leaves out hosts of which nothing is known, says those avoided first, and the log has how many had no room, as for a list. An answer of discovery whose version goes back is no basis for changes: the whole list is asked for (Discovery::answered). The fleet's model: late lists for each gateway, rolling restarts, hosts cut off, lost answers, one gateway at five times the mean, and a checker of the four rules that shares nothing with the module; six mutants break them and are each seen. Lists of 1,100 hosts over loopback, an hour of hosts that come and go.

--- a/src/app/members.cpp
+++ b/src/app/members.cpp
@@ -6,6 +6,9 @@
 namespace finchstile {
 namespace {
 
+// Names of machine kinds that are kept for snapshots: one for each of as many hosts, were it so.
+constexpr std::size_t kKindsMost = 4096;
+
 using membership::HostKey;
 using ridgeshift::Phase;
 using std::chrono::milliseconds;
@@ -124,7 +127,7 @@
       }
       gossip_->onListed(it->second, unixMs(facts->started), n.entry.phase, version, now);
     }
-    if (kinds_.size() < 256) kinds_.insert(n.entry.kind);
+    if (kinds_.size() < kKindsMost) kinds_.insert(n.entry.kind);
     out.hosts.push_back({n.entry, readEndpoint(n.at)});
     named.insert(name);
   }
--- a/src/app/succession.cpp
+++ b/src/app/succession.cpp
@@ -65,7 +65,13 @@
     if (successor_) successor_->close();  // the latest one it is
     successor_ = who;
     who->send({Kind::welcome, name_});
-    who->send({Kind::learned, handover::encodeLearned(gateway_.learned())});
+    handover::LearnedText learned = handover::encodeLearned(gateway_.learned());
+    if (learned.leftOut > 0)
+      std::fprintf(stderr,
+                   "handover: what was learned of %zu hosts has no room in %zu bytes; the next process "
+                   "learns it anew\n",
+                   learned.leftOut, handover::kLearnedMost);
+    who->send({Kind::learned, std::move(learned.text)});
     if (giving_) begin();
   };
   channel->onEnd = [this, gone = std::weak_ptr<Channel>(channel)] {
--- a/src/handover/learned_text.cpp
+++ b/src/handover/learned_text.cpp
@@ -1,8 +1,11 @@
 #include "handover/learned_text.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
 
 namespace finchstile::handover {
 namespace {
@@ -15,9 +18,14 @@
 double read(const json& value) { return value.is_number() ? value.get<double>() : std::nan(""); }
 Duration span(const json& value) { return Duration(value.get<std::int64_t>()); }
 
+// What the next process would assume of it anyway.
+bool blank(const Learned::Host& h) {
+  return h.pace == 1 && h.fails == 0 && h.rate == 0 && h.ejectedFor == Duration{} && h.ejections == 0;
+}
+
 }  // namespace
 
-std::string encodeLearned(const Learned& l) {
+LearnedText encodeLearned(const Learned& l) {
   json out = {{"v", 1},
               {"age", l.age.count()},
               {"pool",
@@ -34,14 +42,28 @@
   for (const auto& v : l.levels) out["levels"].push_back({number(v.worth), number(v.seen)});
   const auto text = [](const json& j) { return j.dump(-1, ' ', false, json::error_handler_t::replace); };
   std::size_t size = text(out).size();
-  for (const auto& h : l.hosts) {
+  std::vector<const Learned::Host*> hosts;
+  for (const auto& h : l.hosts)
+    if (!blank(h)) hosts.push_back(&h);
+  const auto rank = [](const Learned::Host& h) {  // danger: what is no number has no place in an order
+    return std::pair(h.ejectedFor, std::isfinite(h.rate) ? h.rate : 0);
+  };
+  std::stable_sort(hosts.begin(), hosts.end(),
+                   [&](const auto* a, const auto* b) { return rank(*a) > rank(*b); });
+  LearnedText result;
+  for (const Learned::Host* each : hosts) {
+    const Learned::Host& h = *each;
     json host = {h.address,      h.up.count(),         number(h.pace), number(h.fails),
                  number(h.rate), h.ejectedFor.count(), h.ejections};
     size += text(host).size() + 1;
-    if (size > kLearnedMost) break;
+    if (size > kLearnedMost) {
+      ++result.leftOut;
+      continue;
+    }
     out["hosts"].push_back(std::move(host));
   }
-  return text(out);
+  result.text = text(out);
+  return result;
 }
 
 std::optional<Learned> decodeLearned(std::string_view text) try {
--- a/src/handover/learned_text.hpp
+++ b/src/handover/learned_text.hpp
@@ -9,9 +9,14 @@
 
 namespace finchstile::handover {
 
-inline constexpr std::size_t kLearnedMost = 60'000;  // bytes: of a large fleet the hosts beyond are left out
+inline constexpr std::size_t kLearnedMost = 60'000;  // bytes: room for 600 hosts of which something is known
 
-std::string encodeLearned(const ridgeshift::Learned& learned);
+struct LearnedText {
+  std::string text;
+  std::size_t leftOut = 0;  // hosts that had no room
+};
+// Hosts of which nothing has been learned are not said. Those that are avoided come first.
+LearnedText encodeLearned(const ridgeshift::Learned& learned);
 // Nothing if it is not whole or not ours. Numbers are taken as they are; the module holds them to what makes
 // sense.
 std::optional<ridgeshift::Learned> decodeLearned(std::string_view text);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -109,6 +109,13 @@
     return lost();
   }
   if (index_ < 0 && !list.whole) return lost();  // changes to a list that we do not have
+  // Danger: it has begun to count anew, or is another one than our version is from: what it takes for news
+  // may lack what has changed.
+  if (!list.whole && list.index < index_) {
+    index_ = kNoIndex;
+    base_.reset();
+    return lost();
+  }
   index_ = list.index;
   if (const auto base = std::exchange(base_, std::nullopt); base && !list.whole)
     list = wholeOf(*base, std::move(list));
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -724,11 +724,15 @@
   balancer_.onHosts(now, kind, entries);
   std::vector<HostId> named;
   std::vector<std::pair<HostId, Phase>> changed;
+  std::size_t noRoom = 0;
   for (std::size_t i = 0; i < list.hosts.size(); ++i) {
     const ListedHost& h = list.hosts[i];
     const Phase phase = entries[i].phase;
     const HostId id = balancer_.findHost(h.entry.address);
-    if (id == kNone) continue;
+    if (id == kNone) {  // one that has gone may never have been known
+      noRoom += phase != Phase::out;
+      continue;
+    }
     HostRecord& record = hosts_[id];
     const bool fresh = record.endpoint == tcp::endpoint{};
     if (fresh || record.phase != phase) changed.emplace_back(id, phase);
@@ -739,6 +743,9 @@
     record = {h.endpoint, phase, h.entry, h.entry.zone, h.entry.cell, heard, now};
     named.push_back(id);
   }
+  if (noRoom > 0)
+    std::fprintf(stderr, "finchstile: %zu of %zu hosts of a list have no room; 65535 are held\n", noRoom,
+                 list.hosts.size());
   std::sort(named.begin(), named.end());
   for (auto& [id, record] : hosts_) {
     // What a whole list leaves out is gone, and so is what the module has forgotten.
--- a/src/peer/settings.cpp
+++ b/src/peer/settings.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <cstring>
 #include <stdexcept>
+#include <unordered_map>
 
 #include "base/address.hpp"
 #include "base/descriptor.hpp"
@@ -29,12 +30,12 @@
     r.require("secret_file", "32 hexadecimal digits that all gateways share, readable by their user alone");
     std::vector<std::string> texts;
     std::string own, listen;
-    if (r.texts("addresses", texts, 1024, 64))
+    std::unordered_map<std::string, int> times;
+    if (r.texts("addresses", texts, 4096, 64))
       for (const std::string& text : texts) {
         const auto a = parseEndpoint(text);
         if (!a) r.error("addresses", "must be IP:PORT, and one is \"" + text + "\"");
-        if (std::count(texts.begin(), texts.end(), text) > 1)
-          r.error("addresses", "must differ, and \"" + text + "\" stands there twice");
+        if (++times[text] == 2) r.error("addresses", "must differ, and \"" + text + "\" stands there twice");
         out.addresses.push_back(a.value_or(udp::endpoint{}));
       }
     if (r.text("own", own, 64)) {
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -10,6 +10,8 @@
 namespace ridgeshift {
 namespace {
 
+constexpr std::size_t kItemsMost = 4096;  // classes, tenants: an absurd index must not fill the memory
+
 void require(bool good, const std::string& what) {
   if (!good) throw std::invalid_argument("ridgeshift settings: " + what);
 }
@@ -37,7 +39,6 @@
 // Splits "<head>.<index>.<field>" and returns the item of that index, or null for any other path.
 template <class T>
 T* item(std::vector<T>& items, std::string_view path, std::string_view head, std::string_view& field) {
-  constexpr std::size_t kMost = 1000;  // an absurd index must not fill the memory
   if (path.substr(0, head.size()) != head || path.size() <= head.size() || path[head.size()] != '.')
     return nullptr;
   path.remove_prefix(head.size() + 1);
@@ -45,7 +46,10 @@
   if (dot == std::string_view::npos) return nullptr;
   std::size_t index = 0;
   const auto [end, error] = std::from_chars(path.data(), path.data() + dot, index);
-  if (error != std::errc{} || end != path.data() + dot || index > kMost) return nullptr;
+  if (error != std::errc{} || end != path.data() + dot) return nullptr;
+  // Danger: an item that is passed over in silence is a class or tenant whose requests are turned away later.
+  require(index < kItemsMost, std::string(head) + " has more than " + std::to_string(kItemsMost) +
+                                  " items: there is one numbered " + std::to_string(index));
   field = path.substr(dot + 1);
   if (items.size() <= index) items.resize(index + 1);
   return &items[index];
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -86,5 +86,31 @@
   EXPECT_LT(age, std::chrono::seconds(60));
 }
 
+// Hard case: as many classes and tenants as the largest deployment may have, and one beyond what is held.
+TEST(Config, AThousandClassesAndTenantsAreRead) {
+  const Clock clock;
+  json config = configJson({asio::ip::make_address("127.0.0.1"), 1}, json::array());
+  const json grade = config["settings"]["grades"][0];
+  for (int i = 3; i < 1025; ++i) {
+    config["settings"]["grades"].push_back(grade);
+    config["settings"]["grades"].back()["name"] = "class-" + std::to_string(i);
+  }
+  for (int i = 0; i < 1025; ++i)
+    config["settings"]["tenants"].push_back({{"name", "t-" + std::to_string(i)}, {"quotaRps", 1.5}});
+  const Config c = readConfig(config.dump(), clock);
+  ASSERT_EQ(c.settings.classes.size(), 1025u);
+  EXPECT_EQ(c.settings.classes.back().name, "class-1024");
+  ASSERT_EQ(c.settings.tenants.size(), 1025u);
+  EXPECT_EQ(c.settings.tenants.back().quotaPerSecond, 1.5);
+}
+
+TEST(Config, ItemsBeyondTheBoundAreNamedAndNotPassedOver) {
+  EXPECT_NE(complaint([](json& c) {
+              const json tenant = {{"name", "t"}, {"quotaRps", 1}};
+              for (int i = 0; i < 4097; ++i) c["settings"]["tenants"].push_back(tenant);
+            }).find("tenants has more than 4096 items: there is one numbered 4096"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace finchstile::testing
--- a/tests/net/drain_test.cpp
+++ b/tests/net/drain_test.cpp
@@ -157,7 +157,8 @@
   gateway->drain([&] { done = true; });
   c->write("POST /book HTTP/1.1\r\nHost: api\r\nX-Corr");  // never whole: turned down at the last call
   ASSERT_TRUE(until([&] { return !c->answers.empty(); }));
-  // 0.4 s for the longest deadline and 0.7 s: then it is killed. Unaware of the stall it would answer at 1.24 s.
+  // 0.4 s for the longest deadline and 0.7 s: then it is killed. Unaware of the stall it would answer at
+  // 1.24 s.
   EXPECT_LT(steady_clock::now() - told, milliseconds(1100));
   ASSERT_TRUE(until([&] { return done; }));
 }
--- /dev/null
+++ b/tests/net/limits_test.cpp
@@ -0,0 +1,155 @@
+// Lists as long as the largest fleet's, on loopback: nothing is cut, and what comes and goes leaves nothing.
+#include <malloc.h>
+
+#include <ctime>
+
+#include "support/gateway_fixture.hpp"
+
+namespace finchstile::testing {
+namespace {
+
+using ridgeshift::HostEntry;
+using ridgeshift::ListKind;
+using ridgeshift::Phase;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+json many(int from, int to, const std::string& status = "active") {
+  json list = json::array();
+  for (int i = from; i < to; ++i)
+    list.push_back(hostJson(
+        "s-" + std::to_string(i),
+        {asio::ip::make_address("127.9." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250)), 9},
+        status));
+  return list;
+}
+
+struct LimitsTest : GatewayTest {
+  void tell(int index, bool whole, const json& hosts) {
+    const std::size_t before = calls.size();
+    calls.back()->reply(200, listJson(index, whole, hosts).dump());
+    ASSERT_TRUE(until([&] { return calls.size() > before; }));
+  }
+};
+
+TEST_F(LimitsTest, AListOf1100HostsIsHeldWholeChangedByHalfAndDrained) {
+  host(serveOk);
+  start([](json& c) {
+    c["known"]["endpoints"] = many(0, 1100);
+    c["settings"]["groupSize"] = 350;
+    c["settings"]["myNumber"] = 349;
+  });
+  EXPECT_EQ(gateway->figures().listed, 1100u);
+  EXPECT_TRUE(gateway->lists("s-1099"));
+  ASSERT_TRUE(until([&] { return calls.size() == 1; }));
+  tell(2, false, many(0, 550, "leaving"));
+  EXPECT_EQ(gateway->figures().listed, 1100u);
+  EXPECT_EQ(gateway->figures().avoided, 550u);
+  json next = many(0, 550, "left");
+  for (const json& h : many(1100, 1650)) next.push_back(h);
+  tell(3, false, next);
+  EXPECT_EQ(gateway->figures().listed, 1100u);
+  EXPECT_EQ(gateway->figures().avoided, 0u);
+  tell(4, false, many(550, 1650, "leaving"));
+  EXPECT_EQ(gateway->figures().avoided, 1100u);
+  // The one that is left over by a whole list is served by at once.
+  tell(5, true, listed());
+  EXPECT_EQ(gateway->figures().listed, 1u);
+  const auto c = client();
+  c->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+  ASSERT_TRUE(until([&] { return gateway->hostsKept() == 1; }));  // nothing is kept of 1,650
+}
+
+// A simulated hour in which every host is replaced every ten seconds: 368,640 hosts come and go.
+TEST(Limits, HostsThatComeAndGoForAnHourLeaveNothing) {
+  ridgeshift::Settings s;
+  s.groupSize = 350;
+  s.askDiscovery = true;
+  s.askWithin = seconds(10);
+  s.classes.resize(1);
+  s.classes[0].name = "a";
+  s.classes[0].aim = s.classes[0].giveUp = seconds(1);
+  ridgeshift::Time now = seconds(1000);
+  ridgeshift::Balancer b(s, now);
+  const auto batch = [](int from, int to, Phase phase) {
+    std::vector<HostEntry> out;
+    for (int i = from; i < to; ++i) {
+      HostEntry e;
+      e.address = "s-" + std::to_string(i);
+      e.phase = phase;
+      out.push_back(e);
+    }
+    return out;
+  };
+  b.onHosts(now, ListKind::restored, batch(0, 1024, Phase::in));
+  ridgeshift::RequestId id = 0;
+  int sent = 0;
+  for (int round = 0; round < 360; ++round) {
+    const int at = round * 1024;
+    b.onHosts(now, ListKind::update, batch(at + 1024, at + 2048, Phase::in));
+    b.onHosts(now, ListKind::update, batch(at, at + 1024, Phase::out));
+    now += seconds(5);
+    b.onWake(now);
+    ridgeshift::Request q;
+    q.id = ++id;
+    q.classIndex = 0;
+    q.left = seconds(1);
+    b.onRequest(now, q);
+    for (const auto& a : b.actions())
+      if (a.kind == ridgeshift::ActionKind::send) {
+        ++sent;
+        EXPECT_GE(std::stoi(b.address(a.host).substr(2)), at + 1024);
+        ridgeshift::AttemptResult r;
+        r.request = a.request;
+        r.attempt = a.attempt;
+        r.host = a.host;
+        r.taken = milliseconds(10);
+        r.terminal = true;
+        b.onResult(now, r);
+        break;
+      }
+    b.actions().clear();
+    now += seconds(5);
+    b.onWake(now);
+    b.actions().clear();
+  }
+  EXPECT_EQ(sent, 360);
+  std::size_t known = 0;
+  for (int i = 0; i < 361 * 1024; i += 97) known += b.findHost("s-" + std::to_string(i)) != ridgeshift::kNone;
+  EXPECT_LE(known, 1024u / 97 + 1);
+}
+
+// What a host costs must not grow with how many there are.
+TEST(Limits, MemoryAndTimeAreInProportionToTheHosts) {
+  const Clock clock;
+  const auto cost = [&](int hosts) {
+    json config = configJson({asio::ip::make_address("127.0.0.1"), 1}, many(0, hosts));
+    config["settings"]["groupSize"] = 350;
+    const std::string text = config.dump(), change = listJson(2, false, many(0, hosts / 2, "leaving")).dump();
+    double best = 1e9;
+    std::size_t bytes = 0;
+    for (int i = 0; i < 3; ++i) {
+      asio::io_context io;
+      const std::clock_t from = std::clock();
+      const std::size_t before = mallinfo2().uordblks;
+      Gateway g(io, clock, readConfig(text, clock));
+      g.start();
+      g.takeList(parseHostList(change, clock));
+      bytes = mallinfo2().uordblks - before;
+      best = std::min(best, static_cast<double>(std::clock() - from) / CLOCKS_PER_SEC);
+      EXPECT_EQ(g.figures().listed, static_cast<std::size_t>(hosts));
+    }
+    return std::pair(best, bytes);
+  };
+  const auto small = cost(128), large = cost(1024);
+  RecordProperty("bytes_per_host", static_cast<int>(large.second / 1024));
+  std::printf("1,024 hosts: %.1f ms, %zu bytes each; 128: %.1f ms\n", 1e3 * large.first, large.second / 1024,
+              1e3 * small.first);
+  EXPECT_LT(large.first, 40 * small.first) << "more than in proportion (8) by far";
+  EXPECT_LT(large.second, std::size_t{16} << 20);
+}
+
+}  // namespace
+}  // namespace finchstile::testing
--- a/tests/peer/datagram_test.cpp
+++ b/tests/peer/datagram_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <chrono>
 
+#include "operator/document.hpp"
 #include "peer/channel.hpp"
 #include "peer/settings.hpp"
 #include "support/process.hpp"
@@ -176,5 +177,32 @@
   EXPECT_THROW(loadSecret(folder / "none"), std::runtime_error);
 }
 
+// Hard case: a tier of a thousand gateways, and a list of more than are held.
+TEST(PeerSettings, AThousandAddressesAreReadAndOneBeyondTheBoundIsNamed) {
+  const auto read = [](int addresses, PeerSettings& out) {
+    std::string text = "[peers]\nenabled = true\nsecret_file = 's'\nown = '10.0.0.1:7946'\naddresses = [";
+    for (int i = 0; i < addresses; ++i)
+      text += "'10.0." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":7946',";
+    std::vector<SettingProblem> problems;
+    const SettingNode document = parseToml(text + "]\n", problems);
+    {
+      SettingReader root(document, "", problems);
+      readPeerSettings(root, "", out);
+    }
+    std::string lines;
+    for (const SettingProblem& p : problems) lines += describe("f", p) + "\n";
+    return lines;
+  };
+  PeerSettings some, most, more;
+  EXPECT_EQ(read(1100, some), "");
+  EXPECT_EQ(some.addresses.size(), 1100u);
+  EXPECT_EQ(read(4096, most), "");
+  EXPECT_EQ(most.addresses.size(), 4096u);
+  EXPECT_NE(read(4097, more)
+                .find("peers.addresses must be a list of at most 4096 texts of 1 to 64 bytes, and has 4097"),
+            std::string::npos)
+      << read(4097, more);
+}
+
 }  // namespace
 }  // namespace finchstile::peer
--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <string>
 
 namespace ridgeshift::testing {
@@ -14,6 +15,8 @@
   EXPECT_EQ(f.counts.doubled, 0u) << day;
   EXPECT_EQ(f.counts.afterDrain, 0u) << day;
   EXPECT_LT(f.counts.coldMost, 2.5) << day << ": at 3 it falls over";
+  EXPECT_TRUE(f.audit.breaks().empty())
+      << day << ": " << f.audit.breaks().size() << ", the first: " << f.audit.breaks().front();
 }
 
 double worth(const Fleet& f) { return f.counts.worthServed / f.counts.worthAsked; }
@@ -86,6 +89,169 @@
   EXPECT_GT(fresh, 4400u) << "without what they lately did: 4,150 to 4,260";
 }
 
+// --- The rules, by a checker that shares nothing with the module
+
+struct Release : FleetDays {
+  FleetSettings late() const {
+    FleetSettings s = settings(2000);
+    s.listSpread = seconds(3);
+    return s;
+  }
+  void play(Fleet& f, const std::function<void()>& plan, Time until) {
+    f.run(seconds(5));
+    f.counts = {};
+    plan();
+    f.run(until);
+    f.audit.close(f.now());
+  }
+};
+INSTANTIATE_TEST_SUITE_P(Seeds, Release, ::testing::Values(1, 2));
+
+TEST_P(Release, GatewaysAreRestartedAndHalfOfTheHostsReplacedUnderLateLists) {
+  Fleet f(late());
+  play(
+      f, [&] { rollTheFleet(f, seconds(5)); }, seconds(24));
+  expectRules(f, name(GetParam()));
+  EXPECT_GT(worth(f), 0.75);
+}
+
+// Hard case: one gateway is asked five times as much as the mean.
+TEST_P(Release, OneGatewayAtFiveTimesTheMean) {
+  FleetSettings s = late();
+  s.heavyGateway = 5;
+  Fleet f(s);
+  play(
+      f, [&] { rollTheFleet(f, seconds(5)); }, seconds(20));
+  expectRules(f, name(GetParam()));
+  EXPECT_GT(worth(f), 0.75);
+}
+
+// Hard case: a fifth of the hosts fall silent for six seconds, with attempts open there, and heal.
+TEST_P(Release, AFifthOfTheHostsIsCutOffAndHeals) {
+  Fleet f(settings());
+  play(
+      f,
+      [&] {
+        for (int h = 0; h < f.set.hosts; h += 5) {
+          f.at(seconds(5), [&f, h] { f.cutOff(h, true); });
+          f.at(seconds(11), [&f, h] { f.cutOff(h, false); });
+        }
+      },
+      seconds(18));
+  expectRules(f, name(GetParam()));
+  EXPECT_GT(worth(f), 0.75);
+}
+
+// Hard case: seven in ten gateways die at once and come back with a list that is seconds old.
+TEST_P(Release, SevenInTenGatewaysDieAtOnce) {
+  Fleet f(late());
+  play(
+      f,
+      [&] {
+        for (int h = 0; h < 12; ++h) f.at(seconds(4), [&f, h] { f.drainHost(h); });
+        for (std::uint32_t g = 0; g < f.set.gateways * 7 / 10; ++g) {
+          f.at(seconds(5), [&f, g] { f.stopGateway(g); });
+          f.at(seconds(6), [&f, g] { f.startGateway(g); });
+        }
+      },
+      seconds(14));
+  expectRules(f, name(GetParam()));
+  EXPECT_GT(worth(f), 0.6);
+}
+
+// Hard case: one answer in twenty is lost, all over the fleet. Nothing unsafe is repeated for it.
+TEST_P(Release, AnswersAreLostAllOverTheFleet) {
+  Fleet f(settings(1800));
+  f.answersLost = 0.05;
+  play(
+      f, [&] { loseAZone(f, seconds(6)); }, seconds(16));
+  expectRules(f, name(GetParam()));
+  EXPECT_GT(worth(f), 0.7);
+}
+
+// Each rule broken on purpose: the checker has to see it, or it proves nothing above.
+struct Mutants : ::testing::Test {
+  FleetSettings settings() const {
+    FleetSettings s;
+    s.gateways = 40;
+    s.hosts = 30;
+    s.perSecond = 900;
+    return s;
+  }
+  std::size_t broken(
+      char rule, Fleet& f, const std::function<void()>& plan = [] {}) {
+    f.run(seconds(3));
+    plan();
+    f.run(seconds(9));
+    f.audit.close(f.now());
+    return f.audit.broken(rule);
+  }
+};
+
+TEST_F(Mutants, ALostAnswerIsSeen) {
+  Fleet f(settings());
+  std::size_t n = 0;
+  f.answersLost = 0.05;
+  f.spoil = [&](std::uint32_t, Balancer&, std::vector<Action>& actions) {
+    for (Action& a : actions)
+      if (a.kind == ActionKind::fail && ++n % 3 == 0) a.kind = ActionKind::log;
+  };
+  EXPECT_GT(broken('1', f), 0u);
+}
+
+TEST_F(Mutants, ASecondAnswerIsSeen) {
+  Fleet f(settings());
+  f.answersLost = 0.05;
+  f.spoil = [&](std::uint32_t, Balancer&, std::vector<Action>& actions) {
+    for (std::size_t i = actions.size(); i-- > 0;)
+      if (actions[i].kind == ActionKind::fail) actions.push_back(Action(actions[i]));
+  };
+  EXPECT_GT(broken('1', f), 0u);
+}
+
+TEST_F(Mutants, AnEffectTwiceIsSeen) {
+  Fleet f(settings());
+  std::size_t n = 0;
+  f.spoil = [&](std::uint32_t, Balancer&, std::vector<Action>& actions) {
+    for (std::size_t i = actions.size(); i-- > 0;)
+      if (actions[i].kind == ActionKind::send && actions[i].proveFirst && ++n % 100 == 0) {
+        Action again = actions[i];
+        again.attempt += 3;
+        actions.push_back(again);
+      }
+  };
+  EXPECT_GT(broken('2', f), 0u);
+}
+
+TEST_F(Mutants, ARefusalOfWhatMayHaveRunIsSeen) {
+  Fleet f(settings());
+  f.answersLost = 0.05;
+  f.spoil = [&](std::uint32_t, Balancer&, std::vector<Action>& actions) {
+    for (Action& a : actions)
+      if (a.kind == ActionKind::fail) a.kind = ActionKind::refuse;
+  };
+  EXPECT_GT(broken('2', f), 0u);
+}
+
+TEST_F(Mutants, ASendToADrainingHostIsSeen) {
+  Fleet f(settings());
+  f.spoil = [&](std::uint32_t, Balancer& b, std::vector<Action>& actions) {
+    for (Action& a : actions)
+      if (a.kind == ActionKind::send && f.now() > seconds(7)) a.host = b.findHost(makeHost(0).address);
+  };
+  EXPECT_GT(broken('3', f, [&] { f.drainHost(0); }), 0u);
+}
+
+TEST_F(Mutants, AColdHostThatIsPushedOverIsSeen) {
+  Fleet f(settings());
+  f.spoil = [&](std::uint32_t, Balancer& b, std::vector<Action>& actions) {
+    const HostId cold = b.findHost(makeHost(f.set.hosts).address);
+    for (Action& a : actions)
+      if (a.kind == ActionKind::send && cold != kNone) a.host = cold;
+  };
+  EXPECT_GT(broken('4', f, [&] { f.addHost("east"); }), 0u);
+}
+
 // A gateway alone, few of them, and as many as hosts: each meets every host, as before.
 TEST(Fleet, SmallBanksMeetAllHosts) {
   for (const std::uint32_t gateways : {1u, 3u, 12u}) {
--- /dev/null
+++ b/tests/support/fleet_audit.hpp
@@ -0,0 +1,166 @@
+// The four rules, checked on what the gateways of a fleet did. Shares nothing with the module: it sees
+// requests come, attempts go out and end, answers, and what each gateway was told of hosts.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ridgeshift/ridgeshift.hpp"
+
+namespace ridgeshift::testing {
+
+class FleetAudit {
+ public:
+  enum class Answer { served, refused, failed };
+  struct Terms {
+    Duration answerSlack = std::chrono::milliseconds(50);  // past a client's time
+    Duration drainGrace = std::chrono::milliseconds(500);
+    double fallMultiple = 3;                        // of what a cold host can do,
+    Duration fallWindow = std::chrono::seconds(2);  // for this long
+  };
+  FleetAudit() = default;
+  explicit FleetAudit(Terms terms) : terms_(terms) {}
+
+  void asked(std::uint32_t gateway, RequestId id, const ClassSettings& of, Time now, Time deadline) {
+    open_[id] = {gateway, of.effect, of.group, of.window, deadline, {}, false, false};
+    (void)now;
+  }
+  void sent(std::uint32_t gateway, RequestId id, std::uint32_t attempt, const HostEntry& host, Time now) {
+    const auto it = open_.find(id);
+    if (it == open_.end()) return note("1: " + name(id) + " sent, and never asked for");
+    Request& r = it->second;
+    if (r.answered) note("1: " + name(id) + " sent after its answer");
+    for (const Try& t : r.tries) {
+      if (!t.out && !t.mayHaveRun) continue;
+      if (r.effect == Effect::retryable) {
+        if (t.out && !t.calledOff) note("2: " + name(id) + " out twice at once");
+        continue;
+      }
+      if (t.out) note("2: " + name(id) + " sent while an attempt is out");
+      else if (r.effect == Effect::fragile) note("2: " + name(id) + " sent again, and it may have run");
+      else if (now > t.at + r.window || (r.group == Group::zone && t.zone != host.zone) ||
+               (r.group == Group::cell && t.cell != host.cell))
+        note("2: " + name(id) + " sent again outside its group or window");
+    }
+    r.tries.push_back({attempt, now, host.zone, host.cell, true, true, false});
+    const auto told = told_.find({gateway, host.address});
+    if (told != told_.end() && told->second.phase != Phase::in && now > told->second.at + terms_.drainGrace)
+      note("3: " + name(id) + " sent to " + host.address + ", which the gateway knew to drain");
+  }
+  void calledOff(RequestId id, std::uint32_t attempt) {
+    if (Try* t = find(id, attempt)) t->calledOff = true;
+  }
+  void over(RequestId id, std::uint32_t attempt, Outcome outcome) {
+    Try* t = find(id, attempt);
+    if (!t) return;
+    t->out = false;
+    t->mayHaveRun = mayHaveRun(outcome);
+  }
+  void answered(RequestId id, Answer how, Time now) {
+    const auto it = open_.find(id);
+    if (it == open_.end()) return;
+    Request& r = it->second;
+    if (r.excused) return;
+    if (std::exchange(r.answered, true)) return note("1: " + name(id) + " answered twice");
+    if (now > r.deadline + terms_.answerSlack) note("1: " + name(id) + " answered too late");
+    if (how != Answer::refused || r.effect == Effect::retryable) return;
+    for (const Try& t : r.tries) {
+      const bool dropped = r.effect == Effect::dedup && r.group == Group::all && !t.out;
+      if ((t.out || t.mayHaveRun) && !dropped) note("2: " + name(id) + " refused, and it may have run");
+    }
+  }
+  // What a gateway has been told of a host. A new process knows only what it is told.
+  void told(std::uint32_t gateway, const std::string& host, Phase phase, Time now) {
+    Word& w = told_[{gateway, host}];
+    if (w.phase != phase || w.at == Time{}) w = {phase, now};
+  }
+  // The process has gone with all that it held: that is its clients' to repeat.
+  void gone(std::uint32_t gateway) {
+    for (auto& [id, r] : open_)
+      if (r.gateway == gateway && !r.answered) r.excused = true;
+    for (auto it = told_.lower_bound({gateway, ""}); it != told_.end() && it->first.first == gateway;)
+      it = told_.erase(it);
+  }
+  // So much of what a cold host can do in a window was sent to it; `told`: by one who had been told of its
+  // start.
+  void sentCold(const std::string& host, double part, bool toldOfIt, Time now) {
+    Cold& c = cold_[host];
+    c.sent.push_back({now, part, toldOfIt});
+    c.sum += part;
+    c.known += toldOfIt ? part : 0;
+    while (c.sent.front().at < now - terms_.fallWindow) {
+      c.sum -= c.sent.front().part;
+      c.known -= c.sent.front().told ? c.sent.front().part : 0;
+      c.sent.pop_front();
+    }
+    if (c.sum > terms_.fallMultiple && c.known > c.sum * 2 / 3 && !std::exchange(c.fell, true))
+      note("4: " + host + " was pushed over while cold");
+  }
+  // No request may be open past its time.
+  void close(Time now) {
+    for (const auto& [id, r] : open_)
+      if (!r.answered && !r.excused && now > r.deadline + terms_.answerSlack)
+        note("1: " + name(id) + " never answered");
+  }
+
+  const std::vector<std::string>& breaks() const { return breaks_; }
+  std::size_t broken(char rule) const {
+    std::size_t n = 0;
+    for (const std::string& b : breaks_) n += b[0] == rule;
+    return n;
+  }
+
+ private:
+  struct Try {
+    std::uint32_t number;
+    Time at;
+    std::string zone;
+    std::int64_t cell;
+    bool out, mayHaveRun, calledOff;
+  };
+  struct Request {
+    std::uint32_t gateway;
+    Effect effect;
+    Group group;
+    Duration window;
+    Time deadline;
+    std::vector<Try> tries;
+    bool answered, excused;
+  };
+  struct Word {
+    Phase phase = Phase::in;
+    Time at{};
+  };
+  struct ColdSend {
+    Time at;
+    double part;
+    bool told;
+  };
+  struct Cold {
+    std::deque<ColdSend> sent;
+    double sum = 0, known = 0;
+    bool fell = false;
+  };
+
+  static std::string name(RequestId id) { return "request " + std::to_string(id); }
+  Try* find(RequestId id, std::uint32_t attempt) {
+    const auto it = open_.find(id);
+    if (it == open_.end()) return nullptr;
+    for (Try& t : it->second.tries)
+      if (t.number == attempt) return &t;
+    return nullptr;
+  }
+  void note(std::string what) { breaks_.push_back(std::move(what)); }
+
+  Terms terms_;
+  std::map<RequestId, Request> open_;
+  std::map<std::pair<std::uint32_t, std::string>, Word> told_;
+  std::map<std::string, Cold> cold_;
+  std::vector<std::string> breaks_;
+};
+
+}  // namespace ridgeshift::testing
