--- a/src/drain/plan.cpp
+++ b/src/drain/plan.cpp
@@ -26,7 +26,7 @@
     : told_(told),
       kill_(told + std::clamp(terms.longest, Duration{}, kLongestCounted) + kKillAfterLongest),
       serveFor_(std::max(terms.serveFor, Duration{})),
-      sharedDoor_(terms.sharedDoor) {}
+      sharedListener_(terms.sharedListener) {}
 
 void Plan::onLag(Duration lag) { lag_ = std::max(lag_, std::min(lag, kLagMost)); }
 
@@ -34,7 +34,7 @@
 Time Plan::lastCall() const { return exit() - kLastCall; }
 
 Time Plan::serveUntil() const {
-  if (sharedDoor_) return told_;
+  if (sharedListener_) return told_;
   return std::max(told_, std::min(told_ + serveFor_, lastCall() - kLastWork));
 }
 
--- a/src/drain/plan.hpp
+++ b/src/drain/plan.hpp
@@ -26,7 +26,7 @@
 struct Terms {
   Duration longest{};   // the longest deadline of any request; 0 or more
   Duration serveFor{};  // connections are served on for so long at the most; 0: answers close them at once
-  bool sharedDoor = false;  // other processes take what comes to the listener: nobody is served on
+  bool sharedListener = false;  // other processes take what comes to the listener: nobody is served on
 };
 
 class Plan {
@@ -47,7 +47,7 @@
  private:
   Time told_, kill_;
   Duration serveFor_;
-  bool sharedDoor_;
+  bool sharedListener_;
   Duration lag_{};  // the worst
 };
 
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -80,7 +80,7 @@
 }
 
 // Danger: another descriptor under that number, a file of ours or a socket of somebody else's, would be taken
-// for the clients' door.
+// for the clients' listener.
 void Listener::takeOver(const tcp::endpoint& at, int fd) {
   const auto fail = [fd](const std::string& what) {
     throw std::runtime_error("the inherited descriptor " + std::to_string(fd) + " " + what);
@@ -588,15 +588,16 @@
   linger();
 }
 
-// Its descriptor is needed now. What has come in part is refused, and what lies unread is read: the close is
-// to reset as little as can be.
+// Its descriptor is needed now. What has come in part is refused, and so is a first request that may be on its
+// way: with no answer it would count as lost. What lies unread is read: the close is to reset as little as can
+// be.
 void ClientSession::drop() {
   if (state_ == State::idle || (state_ == State::fresh && !begun_)) {
     char byte = 0;
     if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return;  // its request has come
   }
   error_code ignored, end;
-  if (begun_ && !continuing_ && state_ != State::idle) socket_.write_some(asio::buffer(kFull), ignored);
+  if (!continuing_ && state_ != State::idle) socket_.write_some(asio::buffer(kFull), ignored);
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   buffer_.clear();
   for (std::size_t n = 0; !end && n < kLingerBytes;) n += socket_.read_some(buffer_.prepare(kReadMost), end);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -460,9 +460,11 @@
   return out;
 }
 
+// Danger: where attempts can't be called off, one whose request has ended would still be begun by its host.
 bool Gateway::mayFinish(AttemptId id) {
   const auto a = attempts_.find(id);
-  return a != attempts_.end() && clock_.now() <= a->second.latest;
+  const auto r = a == attempts_.end() ? requests_.end() : requests_.find(a->second.request);
+  return r != requests_.end() && !r->second.ended && clock_.now() <= a->second.latest;
 }
 
 void Gateway::onWantBody(AttemptId id) {
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -79,6 +79,31 @@
   EXPECT_EQ(program->wait(), 0);
 }
 
+// SIGTERM and SIGHUP together, twice, in either order, while the loop gets no turn for 200 ms: one drain, and one
+// end in order in its time.
+TEST_F(ProgramTest, SignalsTogetherAndTwiceInAStallEndItOnce) {
+  for (const bool hangupFirst : {true, false}) {
+    calls.clear();
+    configure(discovery.endpoint());
+    run();
+    const auto told = std::chrono::steady_clock::now();
+    program->signal(SIGSTOP);
+    for (int i = 0; i < 2; ++i) {
+      program->signal(hangupFirst ? SIGHUP : SIGTERM);
+      program->signal(hangupFirst ? SIGTERM : SIGHUP);
+    }
+    const auto then = told + std::chrono::milliseconds(200);
+    until([&] { return std::chrono::steady_clock::now() >= then; });
+    program->signal(SIGCONT);
+    ASSERT_TRUE(until([&] { return program->ended(); }));
+    EXPECT_EQ(program->wait(), 0) << program->logged();
+    EXPECT_LT(std::chrono::steady_clock::now() - told, std::chrono::milliseconds(3700));
+    const std::string log = program->logged();
+    EXPECT_EQ(log.find("drains"), log.rfind("drains")) << log;
+    EXPECT_NE(log.find("drained"), std::string::npos) << log;
+  }
+}
+
 TEST_F(ProgramTest, AnAddressThatStaysTakenEndsTheStartWithOneLine) {
   tcp::acceptor before(io, loopback());
   ::fcntl(before.native_handle(), F_SETFD, FD_CLOEXEC);  // else the process would hold it itself
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -26,6 +26,7 @@
   connecting,      // its host's connection does not come up
   lastByteHeld,    // written to its host but for the last byte, which waits for the connection's proof
   sent,            // its host has it and says nothing
+  held,            // a stage holds it, and no host has been asked
   answerHalfRead,  // its host has answered in part, of an answer that is held whole
   relayed,         // the same, of one that is passed on as it comes
   answerUnread,    // its client does not read its answer
@@ -46,9 +47,9 @@
   reload,
   crowd,  // more clients come than there is room for
 };
-const char* const kWhere[] = {"HalfHead",     "HalfBody",  "Unread",         "Connecting",
-                              "LastByteHeld", "Sent",      "AnswerHalfRead", "Relayed",
-                              "AnswerUnread", "ReadAhead", "AtRest"};
+const char* const kWhere[] = {"HalfHead",     "HalfBody",     "Unread",    "Connecting",
+                              "LastByteHeld", "Sent",         "Held",      "AnswerHalfRead",
+                              "Relayed",      "AnswerUnread", "ReadAhead", "AtRest"};
 const char* const kEnd[] = {"Time",         "Drain",      "SendAway",   "ClientCloses", "ClientHalfCloses",
                             "ClientResets", "HostCloses", "HostResets", "HostLeaves",   "WatchEnds",
                             "Reload",       "Crowd"};
@@ -104,6 +105,15 @@
   }
 };
 
+// Holds the request that the pair is about, for good.
+struct Holder : Stage {
+  std::uint8_t phases() const override { return 0x7f; }
+  Arrival onArrived(Exchange& x) override {
+    return {std::nullopt, where == Where::held && (*x.message)["X-Correlation-Id"] == "r"};
+  }
+  Where where{};
+};
+
 struct Crossing : GatewayTest, ::testing::WithParamInterface<std::tuple<Where, End>> {
   struct Run {  // a request that a host has whole
     std::string id;
@@ -177,6 +187,9 @@
     read.tuning.serveDraining = Duration{};
     read.tuning.proofLeast = where() == Where::lastByteHeld ? milliseconds(150) : milliseconds(20);
     gateway = std::make_unique<Gateway>(io, clock, std::move(read));
+    static Holder holder;  // it outlives all gateways
+    holder.where = where();
+    gateway->attach(holder);
     gateway->start();
     ASSERT_TRUE(until([&] { return calls.size() == 1; }));
   }
@@ -201,6 +214,7 @@
       case Where::halfHead: c.write(whole.substr(0, 40)), settle(); return false;
       case Where::halfBody: c.write(whole.substr(0, whole.size() - 6)), settle(); return false;
       case Where::unread: settle(), c.write(whole); return true;
+      case Where::held:
       case Where::connecting: c.write(whole), settle(); return true;
       case Where::lastByteHeld:
         c.write(whole);
--- a/tests/net/ends_test.cpp
+++ b/tests/net/ends_test.cpp
@@ -65,9 +65,18 @@
 TEST_F(EndsTest, NothingMoreIsBegunForAClientThatFloodedAndLeft) {
   std::shared_ptr<Peer> taken;
   const auto first = [&](const auto& peer, const Received&) { taken = peer; };
+  struct Outcomes : AttemptLog {
+    std::vector<ridgeshift::Outcome> all;
+    void onAttempt(const AttemptSeen& a) override { all.push_back(a.outcome); }
+    void onRequest(const RequestSeen&) override {}
+    void onPhase(const std::string&, ridgeshift::Phase) override {}
+  };
+  static Outcomes outcomes;  // it outlives the gateway
+  outcomes.all.clear();
   host(first);
   host(first);
   start();
+  gateway->setAttemptLog(outcomes);
   for (int round = 0; round < 5; ++round) {
     taken.reset();
     const std::size_t before = received();
@@ -83,6 +92,10 @@
     EXPECT_LT(steady_clock::now() - answered, milliseconds(100));
     EXPECT_EQ(received(), before + 1) << "round " << round;
   }
+  // Nor is it held against a host, or tried at one after the other.
+  using ridgeshift::Outcome;
+  EXPECT_EQ(std::count(outcomes.all.begin(), outcomes.all.end(), Outcome::connectFailed), 0);
+  EXPECT_LE(outcomes.all.size(), 10u);
 }
 
 // Its first attempt waits for a connection that comes up late; the client leaves meanwhile.
@@ -103,6 +116,21 @@
   EXPECT_EQ(gateway->openRequests(), 0u);
 }
 
+// Its client leaves while the last byte is held back, and attempts can't be called off.
+TEST_F(EndsTest, TheLastByteOfOneWhoseClientLeftStaysBack) {
+  host(serveOk);
+  proofLeast = milliseconds(200);
+  start([](json& config) { config["settings"]["ceilings"]["cancel"] = false; });
+  const auto c = client();
+  c->ask("POST", "/book", 2500, "x");
+  ASSERT_TRUE(until([&] { return hosts[0]->peers.size() == 1; }));
+  ASSERT_TRUE(after(milliseconds(20)));
+  c->close();
+  ASSERT_TRUE(after(milliseconds(400)));
+  EXPECT_EQ(received(), 0u);
+  ASSERT_TRUE(until([&] { return gateway->openRequests() == 0; }));
+}
+
 // One that only ends its sending side has left too, by the protocol: a client keeps its connection while it
 // waits.
 TEST_F(EndsTest, AHalfClosedClientHasGone) {
@@ -225,7 +253,14 @@
     ASSERT_TRUE(after(milliseconds(5)));
   }
   EXPECT_LE(gateway->clientConnections(), 11u);
-  // However many come so, none takes a place.
+  // However many come so, none takes a place, nor the place of one that was turned away.
+  for (int i = 0; i < 4; ++i) {
+    const auto another = client();
+    another->ask("GET", "/read", 2900);
+    ASSERT_TRUE(until([&] { return another->answers.size() == 1; }));
+    EXPECT_EQ(another->answers[0].result_int(), 503u);
+    EXPECT_EQ(gateway->openRequests(), 10u);
+  }
   for (int i = 0; i < 20; ++i) client();
   ASSERT_TRUE(after(milliseconds(20)));
   EXPECT_LE(gateway->clientConnections(), 11u);
@@ -252,6 +287,65 @@
   EXPECT_EQ(half[0]->answers[0].result_int(), 503u);
 }
 
+// A new connection that has to make room: its first request may be on the way, and is told so.
+TEST_F(EndsTest, ANewConnectionThatMakesRoomIsRefused) {
+  host(serveOk);
+  start([](json& config) { config["limits"]["sockets"] = 27; });
+  std::vector<std::shared_ptr<Client>> fresh;
+  for (int i = 0; i < 11; ++i) fresh.push_back(client());
+  ASSERT_TRUE(until([&] { return fresh[0]->ended; }));
+  ASSERT_EQ(fresh[0]->answers.size(), 1u);
+  EXPECT_EQ(fresh[0]->answers[0].result_int(), 503u);
+  fresh[10]->ask("GET", "/read", 2500);
+  ASSERT_TRUE(until([&] { return fresh[10]->answers.size() == 1; }));
+  EXPECT_EQ(fresh[10]->answers[0].result_int(), 200u);
+}
+
+// --- Answers that break off
+
+// One in chunks with interim answers ahead and a trailer behind, and one whose length is told: cut behind
+// each byte, by a reset and by an end in order. It is never passed on as whole, and what comes next is not
+// harmed.
+TEST_F(EndsTest, AnAnswerThatIsCutBehindAnyByteIsNeverTakenForWhole) {
+  const std::string chunked =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nfour\r\n3\r\nsix\r\n0\r\nX-Sum: 7\r\n\r\n";
+  const std::string counted = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nfoursix";
+  std::string bytes;  // what the next unsafe request is answered; empty: in full
+  bool byReset = false;
+  host([&](const std::shared_ptr<Peer>& peer, const Received& r) {
+    if (r.target() == "/read") return peer->reply(200, "good");
+    peer->write(bytes);
+    if (byReset) peer->socket.set_option(asio::socket_base::linger(true, 0));
+    peer->close();
+  });
+  start();
+  const auto c = client(), usual = client();
+  const auto answered = [&](const std::string& what) {
+    bytes = what;
+    const std::size_t before = c->answers.size();
+    c->ask("POST", "/book", 2500, "x");
+    EXPECT_TRUE(until([&] { return c->answers.size() > before || c->ended; }));
+    return c->answers.size() > before ? c->answers.back().result_int() : 0u;
+  };
+  for (const std::string& whole : {chunked, counted})
+    for (std::size_t cut = 0; cut < whole.size(); ++cut)
+      for (const bool r : {true, false}) {
+        byReset = r;
+        // Danger: hosts that answer nothing but nonsense are an overload, and the cut would refuse what is
+        // asked.
+        serve(*usual, 12);
+        ASSERT_EQ(answered(whole.substr(0, cut)), 502u)
+            << "behind " << cut << " bytes of " << whole.substr(0, 30);
+      }
+  byReset = false;
+  for (const std::string& whole : {chunked, counted}) {
+    ASSERT_EQ(answered(whole), 200u);
+    EXPECT_EQ(c->answers.back().body(), "foursix");
+  }
+}
+
 // --- Discovery
 
 // What it has to tell counts as told 6 s after it could be reached, whatever a call of ours met. Each gateway
