--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -34,7 +34,7 @@
 // A process that replaces another one may come before the system has let go of the address. A third of the
 // time in which the platform wants a restarted process ready.
 constexpr Duration kBindMost = milliseconds(3300), kBindPause = milliseconds(20);
-constexpr std::size_t kSparePart = 32;  // so large a part of the limit may be turned away at once
+constexpr std::size_t kSparePart = 32;             // so large a part of the limit may be turned away at once
 constexpr Duration kUnderWay = milliseconds(100);  // a usual client's request may be on its way for so long
 // Clients that ask once and keep their connection would use up what they may hold in all: of those at rest,
 // at most so large a part of the limit is kept.
@@ -569,9 +569,9 @@
 }
 
 // Danger: a request may have come since the last look; it is read, not reset. One that comes in the very
-// moment finds our side ended: it is read and dropped, and its client, who sees the end in place of an answer,
-// sends it once more elsewhere. A close over it would reset the connection, and take what the system still
-// holds of the last answer along.
+// moment finds our side ended: it is read and dropped, and its client, who sees the end in place of an
+// answer, sends it once more elsewhere. A close over it would reset the connection, and take what the system
+// still holds of the last answer along.
 void ClientSession::closeIdle() {
   char byte = 0;
   if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return;
@@ -588,13 +588,14 @@
   linger();
 }
 
-// Its descriptor is needed now. What has come in part is refused, and so is a first request that may be on its
-// way: with no answer it would count as lost. What lies unread is read: the close is to reset as little as can
-// be.
+// Its descriptor is needed now. What has come in part is refused, and so is a first request that may be on
+// its way: with no answer it would count as lost. What lies unread is read: the close is to reset as little
+// as can be.
 void ClientSession::drop() {
   if (state_ == State::idle || (state_ == State::fresh && !begun_)) {
     char byte = 0;
-    if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return;  // its request has come
+    if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+      return;  // its request has come
   }
   error_code ignored, end;
   if (!continuing_ && state_ != State::idle) socket_.write_some(asio::buffer(kFull), ignored);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -41,9 +41,9 @@
 constexpr Duration kLagLeast = milliseconds(20);
 constexpr Duration kLagKept = milliseconds(100);
 
-// Descriptors that nobody else may take: standard input, output and error, the loop's three, the signals' two,
-// the listener, the inherited one, two for discovery (a watch that is replaced), three for operators, and one
-// for a connection that is to be turned away. Danger: clients at rest would take those of discovery.
+// Descriptors that nobody else may take: standard input, output and error, the loop's three, the signals'
+// two, the listener, the inherited one, two for discovery (a watch that is replaced), three for operators,
+// and one for a connection that is to be turned away. Danger: clients at rest would take those of discovery.
 constexpr std::size_t kOwnDescriptors = 16;
 
 std::size_t share(const Config& c, double part) {
--- a/src/net/tuning.hpp
+++ b/src/net/tuning.hpp
@@ -22,9 +22,9 @@
   ClientTuning clients;
   double clientShare = 0.5;     // of the descriptors
   double upstreamShare = 0.45;  // the same; the two together at most 0.95
-  // After SIGTERM open connections are served on for so long, at most for 0.1 s less than the longest deadline
-  // (3 s of it at the most); then answers
-  // close them. Where no other gateway is near, whoever is sent away at once finds none.
+  // After SIGTERM open connections are served on for so long, at most for 0.1 s less than the longest
+  // deadline (3 s of it at the most); then answers close them. Where no other gateway is near, whoever is
+  // sent away at once finds none.
   ridgeshift::Duration serveDraining = std::chrono::hours(1);
   // Of the descriptors, for what is neither: the two above are shares of the rest.
   double otherShare = 0;
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -79,8 +79,8 @@
   EXPECT_EQ(program->wait(), 0);
 }
 
-// SIGTERM and SIGHUP together, twice, in either order, while the loop gets no turn for 200 ms: one drain, and one
-// end in order in its time.
+// SIGTERM and SIGHUP together, twice, in either order, while the loop gets no turn for 200 ms: one drain, and
+// one end in order in its time.
 TEST_F(ProgramTest, SignalsTogetherAndTwiceInAStallEndItOnce) {
   for (const bool hangupFirst : {true, false}) {
     calls.clear();
--- a/tests/net/drain_test.cpp
+++ b/tests/net/drain_test.cpp
@@ -157,8 +157,8 @@
   gateway->drain([&] { done = true; });
   c->write("POST /book HTTP/1.1\r\nHost: api\r\nX-Corr");  // never whole: turned down at the last call
   ASSERT_TRUE(until([&] { return !c->answers.empty(); }));
-  // 0.4 s for the longest deadline and 0.7 s: then it is killed. Counted from when the loop came to the signal,
-  // the last call would be at 1.34 s: 0.7 and 0.84, less the lag that is seen.
+  // 0.4 s for the longest deadline and 0.7 s: then it is killed. Counted from when the loop came to the
+  // signal, the last call would be at 1.34 s: 0.7 and 0.84, less the lag that is seen.
   EXPECT_LT(steady_clock::now() - told, milliseconds(1100));
   ASSERT_TRUE(until([&] { return done; }));
 }
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -466,8 +466,9 @@
   EXPECT_LE(failing(d.now + seconds(4)).size(), 9u);
 }
 
-// What discovery has to tell counts as told 6 s after it could be reached, whatever was allowed after a failed
-// call. A call that is out then may still come to nothing (2 s), and the answer of the next may take 1.5 s.
+// What discovery has to tell counts as told 6 s after it could be reached, whatever was allowed after a
+// failed call. A call that is out then may still come to nothing (2 s), and the answer of the next may
+// take 1.5 s.
 TEST(Discovery, AfterAnyFailureTheNextCallIsWellInsideTheSixSeconds) {
   for (const int within : {0, 3, 10, 120})
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -485,14 +486,15 @@
         while (d.count(ActionKind::subscribe) == before && d.now < failed + seconds(6))
           d.advance(milliseconds(5));
         ASSERT_LE(d.now - failed, milliseconds(2010)) << within << " s, failure " << failures;
-        if (failures == 0) ASSERT_LE(d.now - failed, milliseconds(510)) << "the first one: a watch fell silent";
+        if (failures == 0)
+          ASSERT_LE(d.now - failed, milliseconds(510)) << "the first one: a watch fell silent";
         ASSERT_GE(d.now - failed, milliseconds(50)) << "a storm";
       }
     }
 }
 
-// Three hundred gateways lose discovery in the same instant: no second of the next ten has more than twice its
-// share of their calls.
+// Three hundred gateways lose discovery in the same instant: no second of the next ten has more than twice
+// its share of their calls.
 TEST(Discovery, AFleetThatLosesItTogetherDoesNotAskTogether) {
   constexpr int kGateways = 300;
   std::vector<int> calls(10);
--- a/tests/support/fleet_audit.hpp
+++ b/tests/support/fleet_audit.hpp
@@ -2,8 +2,8 @@
 // requests come, attempts go out and end, answers, and what each gateway was told of hosts.
 #pragma once
 
-#include <cstdint>
 #include <cmath>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -96,11 +96,12 @@
     }
     const double window = std::chrono::duration<double>(kFallWindow).count();
     const double times = c.sum / (capacity * window);
-    // The same by calls: so many of mean work as the window allows, and two of its roots and two more for chance.
+    // The same by calls: so many of mean work as the window allows, and two of its roots and two more for
+    // chance.
     if (meanWork > 0 && c.known > c.sum * 2 / 3) {
       const double allowed = kFallMultiple * capacity * window / meanWork;
-      coldExcess = std::max(coldExcess,
-                            static_cast<double>(c.sent.size()) - (allowed + 2 * std::sqrt(allowed) + 2));
+      coldExcess =
+          std::max(coldExcess, static_cast<double>(c.sent.size()) - (allowed + 2 * std::sqrt(allowed) + 2));
       coldPart = std::max(coldPart, static_cast<double>(c.sent.size()) / allowed);
     }
     if (times > kFallMultiple && c.known > c.sum * 2 / 3 && !std::exchange(c.fell, true))
