--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -1,4 +1,6 @@
 // The program as a process: signals and the files of its configuration.
+#include <sys/resource.h>
+
 #include <csignal>
 
 #include "support/process.hpp"
@@ -79,6 +81,46 @@
   EXPECT_EQ(program->wait(), 0);
 }
 
+// Discovery is down, and clients hold all descriptors that they may, most with an attempt out. When it is
+// back it is reached all the same: the system grants the process no more than its configuration says.
+TEST_F(ProgramTest, WhileClientsHoldAllThatTheyMayDiscoveryGetsItsDescriptor) {
+  Server host(io, [](const auto&, const Received&) {});
+  const tcp::endpoint at = tcp::acceptor(io, loopback()).local_endpoint();
+  tcp::acceptor first(io, loopback());
+  ::fcntl(first.native_handle(), F_SETFD, FD_CLOEXEC);  // else the process would hold it itself
+  const tcp::endpoint down = first.local_endpoint();
+  json config = configJson(down, json::array({hostJson("s-0", host.endpoint())}));
+  config["listen"] = text(at);
+  config["limits"]["sockets"] = 64;
+  folder.write("config.json", config.dump());
+  setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  rlimit tight = before;
+  tight.rlim_cur = 64;
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &tight), 0);
+  program = std::make_unique<Process>(FINCHSTILE_PROGRAM, std::vector<std::string>{}, folder / "log");
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+  bool asked = false;
+  first.async_accept([&](error_code error, tcp::socket) { asked = !error; });
+  ASSERT_TRUE(until([&] { return asked; }));
+  first.close();
+  std::vector<std::shared_ptr<Client>> clients;
+  for (int i = 0; i < 60; ++i) {
+    clients.push_back(Client::connect(io, at));
+    clients.back()->ask("GET", "/read", 2900);
+  }
+  // Shares are 24 for clients, 21 for hosts: all of both are taken.
+  ASSERT_TRUE(until([&] { return host.received.size() >= 20; }));
+  tcp::acceptor back(io, down);
+  bool reached = false;
+  back.async_accept([&](error_code error, tcp::socket) { reached = !error; });
+  const auto since = std::chrono::steady_clock::now();
+  ASSERT_TRUE(until([&] { return reached; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - since, std::chrono::milliseconds(2300));
+  EXPECT_FALSE(program->ended()) << program->logged();
+}
+
 // SIGTERM and SIGHUP together, twice, in either order, while the loop gets no turn for 200 ms: one drain, and
 // one end in order in its time.
 TEST_F(ProgramTest, SignalsTogetherAndTwiceInAStallEndItOnce) {
