One look at what lies unread on a client's socket, where three stood

Need: read once more, the change asked the kernel the same way in three places of client.cpp, and gone() tested its state twice. Behaviour stays.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -44,6 +44,12 @@
 // is taken for silent, and a descriptor is worth more than its request.
 constexpr double kBodyRate = 32 * 1024;
 
+// What lies unread: above 0, bytes; 0, the end; below, nothing yet or an error, as errno has it.
+ssize_t peek(tcp::socket& socket) {
+  char byte = 0;
+  return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
 }  // namespace
 
 // --- Listener
@@ -418,15 +424,15 @@
 // Nothing more comes from its client: the end is next to be read, or lies behind bytes that are not read yet.
 // One that has ended only its sending side has left too (docs/design/acceptance.md).
 bool ClientSession::atEnd() {
-  char byte = 0;
-  const ssize_t n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t n = peek(socket_);
   if (n < 0) return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
   pollfd look{socket_.native_handle(), POLLRDHUP, 0};
   return n == 0 || ::poll(&look, 1, 0) > 0;
 }
 
 bool ClientSession::gone() {
-  if (state_ == State::closed || !atEnd()) return state_ == State::closed;
+  if (state_ == State::closed) return true;
+  if (!atEnd()) return false;
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
     if (self->state_ == State::waiting) self->close();
   });
@@ -573,8 +579,7 @@
 // answer, sends it once more elsewhere. A close over it would reset the connection, and take what the system
 // still holds of the last answer along.
 void ClientSession::closeIdle() {
-  char byte = 0;
-  if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return;
+  if (peek(socket_) > 0) return;
   linger();
 }
 
@@ -592,11 +597,8 @@
 // its way: with no answer it would count as lost. What lies unread is read: the close is to reset as little
 // as can be.
 void ClientSession::drop() {
-  if (state_ == State::idle || (state_ == State::fresh && !begun_)) {
-    char byte = 0;
-    if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
-      return;  // its request has come
-  }
+  const bool rests = state_ == State::idle || (state_ == State::fresh && !begun_);
+  if (rests && peek(socket_) > 0) return;  // its request has come
   error_code ignored, end;
   if (!continuing_ && state_ != State::idle) socket_.write_some(asio::buffer(kFull), ignored);
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
