--- /dev/null
+++ b/bench/allocation_count.cpp
@@ -0,0 +1,37 @@
+// Counts the bytes of the heap that the program has in use, by replacing the global allocation functions.
+#include <malloc.h>
+
+#include <atomic>
+#include <cstdint>
+#include <cstdlib>
+#include <new>
+
+#include "measure.hpp"
+
+namespace {
+
+std::atomic<std::int64_t> inUse{0};
+
+void* allocate(std::size_t size) {
+  void* memory = std::malloc(size == 0 ? 1 : size);
+  if (!memory) throw std::bad_alloc();
+  inUse += static_cast<std::int64_t>(malloc_usable_size(memory));
+  return memory;
+}
+
+void release(void* memory) noexcept {
+  if (!memory) return;
+  inUse -= static_cast<std::int64_t>(malloc_usable_size(memory));
+  std::free(memory);
+}
+
+}  // namespace
+
+void* operator new(std::size_t size) { return allocate(size); }
+void* operator new[](std::size_t size) { return allocate(size); }
+void operator delete(void* memory) noexcept { release(memory); }
+void operator delete[](void* memory) noexcept { release(memory); }
+void operator delete(void* memory, std::size_t) noexcept { release(memory); }
+void operator delete[](void* memory, std::size_t) noexcept { release(memory); }
+
+std::int64_t finchstile::bench::allocatedBytes() { return inUse; }
--- /dev/null
+++ b/bench/capacity.cpp
@@ -0,0 +1,274 @@
+// Cost against size, one variable at a time, of the code that a gateway runs: the decision module, the reader
+// of the configuration, the lists of discovery. Processor time and bytes, no wall time. docs/CAPACITY.md is
+// worked out from these figures.
+//   build-bench/bench_capacity [--out FILE.tsv] [--samples N] [--only hosts|tenants|classes]
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "measure.hpp"
+#include "net/config.hpp"
+#include "ridgeshift/ridgeshift.hpp"
+#include "standin_config.hpp"
+
+namespace finchstile::bench {
+namespace {
+
+using nlohmann::json;
+using ridgeshift::Balancer;
+using ridgeshift::HostEntry;
+using ridgeshift::ListKind;
+using ridgeshift::Phase;
+using ridgeshift::Settings;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kGateways = 520;
+constexpr std::size_t kZones = 5;
+constexpr std::size_t kUsualHosts = 46, kUsualClasses = 8, kUsualTenants = 0;
+constexpr int kRequestsPerSample = 2000;
+constexpr int kChangesPerSample = 20;
+constexpr double kRequestsPerSecond = 230;  // of one gateway at the peak
+
+struct Options {
+  std::string out, only;
+  std::size_t samples = 5;
+};
+
+std::string zoneName(std::size_t i) { return "zone-" + std::to_string(i % kZones); }
+std::string hostName(std::size_t i) { return "host-" + std::to_string(100000 + i); }
+std::string tenantName(std::size_t i) { return "tenant-" + std::to_string(100000 + i); }
+
+json hostsJson(std::size_t count) {
+  json hosts = json::array();
+  for (std::size_t i = 0; i < count; ++i)
+    hosts.push_back(standin::hostJson(hostName(i), "10.1.0.18:8443", zoneName(i)));
+  return hosts;
+}
+
+std::vector<HostEntry> entries(std::size_t count) {
+  std::vector<HostEntry> all(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    all[i].address = hostName(i);
+    all[i].zone = zoneName(i);
+    all[i].kind = "std";
+  }
+  return all;
+}
+
+Settings settingsOf(std::size_t classes, std::size_t tenants) {
+  Settings s;
+  s.groupSize = kGateways;
+  s.myNumber = kGateways / 2;
+  s.zone = zoneName(0);
+  s.maxAttempts = 3;
+  s.retryAfter = true;
+  s.coldTime = seconds(9);
+  s.coldShare = 0.32;
+  s.fallWindow = seconds(2);
+  for (std::size_t i = 0; i < classes; ++i) {
+    ridgeshift::ClassSettings c;
+    c.name = "class-" + std::to_string(i);
+    c.aim = milliseconds(400);
+    c.giveUp = seconds(1);
+    c.effect = ridgeshift::Effect::retryable;
+    s.classes.push_back(c);
+  }
+  for (std::size_t i = 0; i < tenants; ++i) s.tenants.push_back({tenantName(i), 50});
+  return s;
+}
+
+// A module with its hosts, fed with requests that are answered after 20 ms.
+class Driven {
+ public:
+  Driven(std::size_t hosts, std::size_t classes, std::size_t tenants)
+      : classes_(classes), tenants_(tenants), balancer_(settingsOf(classes, tenants), now_) {
+    balancer_.onHosts(now_, ListKind::replace, entries(hosts));
+    balancer_.actions().clear();
+  }
+  Balancer& balancer() { return balancer_; }
+  ridgeshift::Time now() const { return now_; }
+
+  void request() {
+    now_ += std::chrono::nanoseconds(static_cast<std::int64_t>(1e9 / kRequestsPerSecond));
+    ridgeshift::Request q;
+    q.id = ++last_;
+    q.classIndex = static_cast<std::uint32_t>(last_ % classes_);
+    if (tenants_ > 0) q.tenantIndex = static_cast<std::uint32_t>(last_ * 7919 % tenants_);
+    q.left = seconds(1);
+    balancer_.onRequest(now_, q);
+    ridgeshift::AttemptResult done;
+    for (const auto& action : balancer_.actions())
+      if (action.kind == ridgeshift::ActionKind::send)
+        done = {
+            action.request, action.attempt, action.host, ridgeshift::Outcome::served, milliseconds(20), true};
+    balancer_.actions().clear();
+    if (done.request == 0) return;
+    balancer_.onResult(now_, done);
+    balancer_.actions().clear();
+  }
+  void sweep() {
+    now_ += seconds(60);  // longer than the period of a sweep at any size
+    balancer_.onWake(now_);
+    balancer_.actions().clear();
+  }
+
+ private:
+  std::size_t classes_, tenants_;
+  ridgeshift::Time now_ = seconds(1000);
+  ridgeshift::RequestId last_ = 0;
+  Balancer balancer_;
+};
+
+class Capacity {
+ public:
+  explicit Capacity(const Options& options) : options_(options), table_(options.out) {}
+
+  void run() {
+    if (wanted("hosts"))
+      for (const std::size_t n : {46, 640, 6400, 12800}) hosts(n);
+    if (wanted("tenants"))
+      for (const std::size_t n : {100, 4000, 27000}) tenants(n);
+    if (wanted("classes"))
+      for (const std::size_t n : {8, 140, 1000, 4000}) classes(n);
+  }
+
+ private:
+  bool wanted(const char* variable) const { return options_.only.empty() || options_.only == variable; }
+
+  // `sample` gives one measurement; it is asked as often as the options say.
+  void add(const char* variable, std::size_t size, const char* cost, const char* unit,
+           const std::function<double()>& sample) {
+    Row row{variable, static_cast<double>(size), cost, unit, {}};
+    for (std::size_t i = 0; i < options_.samples; ++i) row.samples.values.push_back(sample());
+    table_.add(row);
+  }
+  void addRequest(const char* variable, std::size_t size, Driven& driven) {
+    add(variable, size, "a request", "us", [&] {
+      return 1e6 / kRequestsPerSample * processorSecondsOf([&] {
+               for (int i = 0; i < kRequestsPerSample; ++i) driven.request();
+             });
+    });
+  }
+  void addMemory(const char* variable, std::size_t size, const std::function<Driven()>& make) {
+    add(variable, size, "memory of the module", "MB", [&] {
+      const std::int64_t before = allocatedBytes();
+      const Driven driven = make();
+      return static_cast<double>(allocatedBytes() - before) * 1e-6;
+    });
+  }
+
+  void hosts(std::size_t n) {
+    const Clock clock;
+    const std::string list = standin::listJson(1, true, hostsJson(n)).dump();
+    add("hosts", n, "bytes of the whole list", "kB", [&] { return static_cast<double>(list.size()) * 1e-3; });
+    add("hosts", n, "whole list, read", "ms",
+        [&] { return 1e3 * processorSecondsOf([&] { parseHostList(list, clock); }); });
+    add("hosts", n, "whole list, taken", "ms", [&] {
+      Balancer balancer(settingsOf(kUsualClasses, kUsualTenants), seconds(1));
+      const auto all = entries(n);
+      return 1e3 * processorSecondsOf([&] { balancer.onHosts(seconds(1), ListKind::replace, all); });
+    });
+    Driven driven(n, kUsualClasses, kUsualTenants);
+    auto all = entries(n);
+    add("hosts", n, "change of one host", "us", [&] {
+      return 1e6 / kChangesPerSample * processorSecondsOf([&] {
+               for (int i = 0; i < kChangesPerSample; ++i) {
+                 HostEntry& host = all[static_cast<std::size_t>(i) * 7 % n];
+                 host.phase = host.phase == Phase::in ? Phase::draining : Phase::in;
+                 driven.balancer().onHosts(driven.now(), ListKind::update, {host});
+                 driven.balancer().actions().clear();
+               }
+             });
+    });
+    add("hosts", n, "a zone's changes at once", "ms", [&] {
+      std::vector<HostEntry> zone;
+      for (std::size_t i = 0; i < n; i += kZones) {
+        all[i].phase = all[i].phase == Phase::in ? Phase::draining : Phase::in;
+        zone.push_back(all[i]);
+      }
+      return 1e3 *
+             processorSecondsOf([&] { driven.balancer().onHosts(driven.now(), ListKind::update, zone); });
+    });
+    for (HostEntry& host : all) host.phase = Phase::in;
+    driven.balancer().onHosts(driven.now(), ListKind::replace, all);
+    driven.balancer().actions().clear();
+    addRequest("hosts", n, driven);
+    add("hosts", n, "a sweep", "us", [&] { return 1e6 * processorSecondsOf([&] { driven.sweep(); }); });
+    addMemory("hosts", n, [&] { return Driven(n, kUsualClasses, kUsualTenants); });
+  }
+
+  void tenants(std::size_t n) {
+    const Clock clock;
+    json config = {
+        {"listen", "127.0.0.1:0"},
+        {"discovery", "127.0.0.1:1"},
+        {"seed", "1"},
+        {"settings", standin::settingsJson(json::array({standin::gradeJson({"read", "retryable", "all", 1})}),
+                                           true, zoneName(0))}};
+    for (std::size_t i = 0; i < n; ++i)
+      config["settings"]["tenants"].push_back({{"name", tenantName(i)}, {"quotaRps", 50.0}});
+    const std::string text = config.dump();
+    try {
+      readConfig(text, clock);
+      add("tenants", n, "configuration, read", "ms",
+          [&] { return 1e3 * processorSecondsOf([&] { readConfig(text, clock); }); });
+    } catch (const std::exception& refused) {
+      std::printf("tenants   %7zu  configuration, read: refused, %s\n", n, refused.what());
+    }
+    Driven driven(kUsualHosts, kUsualClasses, n);
+    addRequest("tenants", n, driven);
+    addMemory("tenants", n, [&] { return Driven(kUsualHosts, kUsualClasses, n); });
+  }
+
+  // A route is a class today: the first part of a path. Nothing else stands for one.
+  void classes(std::size_t n) {
+    add("classes", n, "start of the module", "us", [&] {
+      return 1e6 * processorSecondsOf([&] { Balancer(settingsOf(n, kUsualTenants), seconds(1)); });
+    });
+    Driven driven(kUsualHosts, n, kUsualTenants);
+    addRequest("classes", n, driven);
+    addMemory("classes", n, [&] { return Driven(kUsualHosts, n, kUsualTenants); });
+  }
+
+  const Options options_;
+  Table table_;
+};
+
+Options readOptions(int argc, char** argv) {
+  Options o;
+  for (int i = 1; i < argc; i += 2) {
+    const std::string name = argv[i];
+    if (i + 1 >= argc) throw std::invalid_argument(name + " wants a value");
+    const std::string value = argv[i + 1];
+    if (name == "--out") {
+      o.out = value;
+    } else if (name == "--samples") {
+      const int samples = std::atoi(value.c_str());
+      if (samples < 1 || samples > 100) throw std::invalid_argument("--samples must be from 1 to 100");
+      o.samples = static_cast<std::size_t>(samples);
+    } else if (name == "--only" && (value == "hosts" || value == "tenants" || value == "classes")) {
+      o.only = value;
+    } else {
+      throw std::invalid_argument("unknown option " + name + " " + value);
+    }
+  }
+  return o;
+}
+
+}  // namespace
+}  // namespace finchstile::bench
+
+int main(int argc, char** argv) try {
+  finchstile::bench::Capacity(finchstile::bench::readOptions(argc, argv)).run();
+  return 0;
+} catch (const std::exception& bad) {
+  std::fprintf(stderr, "bench_capacity: %s\n", bad.what());
+  return 2;
+}
