Terms of classes and tenants change without a restart; requests cost the same at any size

Change: a bucket is filled when it is used; hosts that hold something are kept in a list of their own (the same sum, so the same decisions); Balancer::onTerms takes classes' aims and worths and tenants' quotas in one step, and an open request keeps the aim and the late share with which it came; 131,072 tenants are read. src/configuration decides what becomes of an update (versions by epoch and revision, a hash of the set, all errors at once, one that was turned down is not tried again) and which control machine is asked; its client uses the watch of discovery, which is a class of its own now (net/watch). [configuration], off by default. Ruled out: a table of tenants built anew aside for each change, which costs 27,000 entries a change; terms by index given out by the gateway, which could mean two tenants after a removal.

--- a/include/ridgeshift/ridgeshift.hpp
+++ b/include/ridgeshift/ridgeshift.hpp
@@ -25,6 +25,8 @@
 using RequestId = std::uint64_t;        // chosen by the caller, never used again
 using HostId = std::uint32_t;           // given out by the Balancer at first sight of an address
 inline constexpr std::uint32_t kNone = UINT32_MAX;
+inline constexpr std::size_t kClassesMost = 4096;
+inline constexpr std::size_t kTenantsMost = 131'072;  // 16 bytes each: two megabytes
 
 enum class Effect { retryable, dedup, fragile };  // may it run again?
 enum class Group { all, zone, cell };             // which hosts drop repeats of a dedup request together
@@ -46,6 +48,23 @@
   double quotaPerSecond = 0;  // over all gateways; 0 = no quota
 };
 
+// What is asked for and what is owed to whom, as far as it may change while requests are open. A class keeps
+// its place, name, effect, group and window; those are agreed with the hosts.
+struct Terms {
+  struct ClassTerms {
+    std::uint32_t index = 0;  // into Settings::classes
+    Duration aim{};           // above 0, and not beyond the class's giveUp
+    double worth = 1;         // 0 or more
+    double lateShare = 0;     // 0 to 1
+  };
+  struct TenantTerms {
+    std::uint32_t index = 0;    // a place not used so far, or one of a tenant whose quota changes
+    double quotaPerSecond = 0;  // over all gateways, 0 or more; 0 = no quota
+  };
+  std::vector<ClassTerms> classes;
+  std::vector<TenantTerms> tenants;
+};
+
 struct Settings {
   std::uint64_t seed = 1;
   std::uint32_t groupSize = 1;  // gateways in the bank, this one included
@@ -214,6 +233,11 @@
   Balancer& operator=(Balancer&&) noexcept;
 
   void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
+  // Requests that come from now on are decided under `terms`; those that are open end under the terms with
+  // which they began. Classes and tenants that are not named keep theirs. Throws std::invalid_argument if a
+  // term makes no sense, names no class, or leaves places of tenants unused beyond kTenantsMost; nothing is
+  // taken then.
+  void onTerms(Time now, const Terms& terms);
   void onRequest(Time now, const Request& request);
   // The last byte of an `arriving` request is here. The time limit of its attempt from now on; 0: none is
   // out.
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -57,11 +57,18 @@
     crossing::readCrossingSettings(root, out.crossing);
     membership::readMembershipSettings(root, out.membership);
     trace::readTraceSettings(root, folder, out.trace);
+    configuration::readConfigurationSettings(root, folder, out.configuration);
     stream::readStreamSettings(root, out.streams, [&](SettingReader& streams) {
       websocket::readWebSocketSettings(streams, out.webSocket);
       if (out.webSocket.enabled && !out.streams.enabled)
         streams.error("websocket", "needs [streams], enabled, that holds its streams");
     });
+    // Danger: [idempotency] tells tenants apart as the start's configuration has them; one that comes later
+    // would share its keys with all others that it does not know.
+    if (out.configuration.enabled && out.idempotency.enabled)
+      root.error("configuration",
+                 "can't be enabled together with [idempotency] yet, whose tenants are those of "
+                 "the start");
     if (out.idempotency.owners.enabled && !out.peers.enabled)
       root.error("idempotency", "owners need [peers], enabled, for the other gateways");
     if (out.membership.needsPeers() && !out.peers.enabled)
--- a/src/app/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "configuration/settings.hpp"
 #include "crossing/settings.hpp"
 #include "hook/settings.hpp"
 #include "idempotency/settings.hpp"
@@ -29,6 +30,7 @@
   membership::MembershipSettings membership;
   stream::StreamSettings streams;
   trace::TraceSettings trace;
+  configuration::ConfigurationSettings configuration;
   websocket::WebSocketSettings webSocket;
 };
 
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <charconv>
 #include <csignal>
 #include <cstdio>
@@ -26,6 +27,7 @@
 #include "app/peer_link.hpp"
 #include "app/succession.hpp"
 #include "app/trace_log.hpp"
+#include "configuration/client.hpp"
 #include "crossing/stage.hpp"
 #include "hook/files.hpp"
 #include "hook/stage.hpp"
@@ -97,6 +99,7 @@
     attachCrossing();
     attachIdempotency();
     attachStreams();
+    attachConfiguration();
     if (built_.file.membership.enabled)
       members_ =
           std::make_unique<Members>(io_, clock_, built_.file.membership, config_, gateway_, peers_.get());
@@ -107,6 +110,7 @@
         if (crossing_) more += crossing_->account().exposition();
         if (streams_) more += streams_->exposition();
         if (members_) more += members_->exposition();
+        if (configuration_) more += configuration_->exposition();
         return more;
       };
     }
@@ -263,6 +267,18 @@
     waitToReport();
   }
 
+  // The worker ends before what its jobs refer to.
+  void attachConfiguration() {
+    const configuration::ConfigurationSettings& settings = built_.file.configuration;
+    if (!settings.enabled) return;
+    worker_ = std::make_unique<boost::asio::thread_pool>(1);
+    configuration_ = std::make_unique<configuration::Client>(
+        io_, worker_->get_executor(), clock_, settings, config_.name, config_.settings.seed, config_.settings,
+        [this](const configuration::TermsChange& change) { gateway_.takeTerms(change); }, say);
+    configuration_->start();
+    waitToReport();
+  }
+
   void waitToReport() {
     report_.expires_after(built_.file.hooks.report);
     report_.async_wait([this](const boost::system::error_code& stopped) {
@@ -273,6 +289,7 @@
       if (members_) lines.push_back(members_->summary());
       if (streams_) lines.push_back(streams_->account().summary());
       if (trace_) lines.push_back(trace_->summary());
+      if (configuration_) lines.push_back(configuration_->summary());
       if (crossing_)
         for (std::string& line : crossing_->summary()) lines.push_back(std::move(line));
       for (const std::string& line : lines) {
@@ -306,6 +323,8 @@
   std::unique_ptr<Members> members_;
   std::unique_ptr<OpsDesk> desk_;
   std::unique_ptr<Succession> succession_;
+  std::unique_ptr<configuration::Client> configuration_;
+  std::unique_ptr<boost::asio::thread_pool> worker_;
   bool attached_ = false, drains_ = false;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer report_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -8,32 +8,18 @@
 namespace finchstile {
 namespace {
 
-namespace http = boost::beast::http;
-using boost::system::error_code;
-
 constexpr std::size_t kListMost = 4 * 1024 * 1024;
+constexpr unsigned kOk = 200;
 constexpr std::int64_t kNoIndex = -1;  // the whole list is asked for
 
 }  // namespace
 
-// The connection of a watch, with the call that is out on it.
-struct Discovery::Call {
-  explicit Call(boost::asio::io_context& io) : socket(io) {}
-  tcp::socket socket;
-  boost::beast::flat_buffer buffer;
-  http::request<http::empty_body> request;
-  std::optional<http::response_parser<http::string_body>> parser;
-  bool connected = false;
-};
-
 Discovery::Discovery(boost::asio::io_context& io, const Clock& clock, const tcp::endpoint& at, Limits limits,
                      std::int64_t index, DiscoveryEvents& events)
-    : io_(io), clock_(clock), at_(at), limits_(limits), index_(index), events_(events), timer_(io) {}
-Discovery::~Discovery() = default;
+    : clock_(clock), at_(at), limits_(limits), index_(index), events_(events), watch_(io, kListMost, *this) {}
 
 void Discovery::watch() {
-  if (call_) return;
-  call_ = std::make_shared<Call>(io_);
+  if (std::exchange(watching_, true)) return;
   ask();
 }
 
@@ -51,15 +37,11 @@
 }
 
 void Discovery::stop() {
-  timer_.cancel();
-  if (const auto call = std::exchange(call_, nullptr)) {
-    error_code ignored;
-    call->socket.close(ignored);
-  }
+  watching_ = false;
+  watch_.stop();
 }
 
 void Discovery::ask() {
-  const auto call = call_;
   std::string target = "/registry/instances";
   Duration most = limits_.silence;
   if (index_ >= 0) {
@@ -68,40 +50,14 @@
               std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
     most += wait;
   }
-  // Danger: a discovery that was cut off says nothing, ever.
-  timer_.expires_after(most);
-  timer_.async_wait([this, call](error_code stopped) {
-    if (!stopped && call == call_) lost();
-  });
-  call->request = {http::verb::get, target, 11};
-  call->request.set(http::field::host, at_.address().to_string() + ":" + std::to_string(at_.port()));
-  call->parser.emplace();
-  call->parser->body_limit(kListMost);
-  auto write = [this, call] {
-    http::async_write(call->socket, call->request, [this, call](error_code error, std::size_t) {
-      if (call != call_) return;
-      if (error) return lost();
-      http::async_read(call->socket, call->buffer, *call->parser, [this, call](error_code bad, std::size_t) {
-        if (call != call_) return;
-        if (bad) return lost();
-        answered(call);
-      });
-    });
-  };
-  if (call->connected) return write();
-  call->socket.async_connect(at_, [this, call, write](error_code error) {
-    if (call != call_) return;
-    if (error) return lost();
-    call->connected = true;
-    write();
-  });
+  watch_.call(at_, target, most);
 }
 
-void Discovery::answered(const std::shared_ptr<Call>& call) {
-  if (call->parser->get().result() != http::status::ok) return lost();
+void Discovery::onWatchAnswer(WatchAnswer&& answer) {
+  if (answer.status != kOk) return lost();
   HostList list;
   try {
-    list = parseHostList(call->parser->get().body(), clock_);
+    list = parseHostList(answer.body, clock_);
   } catch (const std::exception&) {
     return lost();
   }
@@ -116,17 +72,13 @@
   soon_ = false;
   if (const auto base = std::exchange(base_, std::nullopt); base && !list.whole)
     list = wholeOf(*base, std::move(list));
-  if (!call->parser->keep_alive()) {
-    error_code ignored;
-    call->socket.close(ignored);
-    call->connected = false;
-    call->buffer.clear();
-  }
   // The next call goes out first: a watch lasts only as long as calls follow one another closely.
   ask();
   events_.onHostList(std::move(list));
 }
 
+void Discovery::onWatchLost() { lost(); }
+
 void Discovery::lost() {
   stop();
   soon_ = true;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -3,14 +3,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
-#include <memory>
 #include <optional>
 
 #include "net/clock.hpp"
 #include "net/config.hpp"
+#include "net/watch.hpp"
 
 namespace finchstile {
 
@@ -21,7 +18,7 @@
   virtual void onDiscoveryLost() = 0;  // the watch has ended; `watch` starts a new one
 };
 
-class Discovery {
+class Discovery : WatchEvents {
  public:
   struct Limits {
     Duration wait{};     // how long discovery may hold a call that has no news,
@@ -31,7 +28,6 @@
 
   Discovery(boost::asio::io_context& io, const Clock& clock, const tcp::endpoint& at, Limits limits,
             std::int64_t index, DiscoveryEvents& events);
-  ~Discovery();
 
   void watch();  // does nothing while a watch is on
   // Watches another discovery from now on. `known`: a list as that one had it, with its version there; what
@@ -42,12 +38,11 @@
   void stop();
 
  private:
-  struct Call;
   void ask();
-  void answered(const std::shared_ptr<Call>& call);
+  void onWatchAnswer(WatchAnswer&& answer) override;
+  void onWatchLost() override;
   void lost();
 
-  boost::asio::io_context& io_;
   const Clock& clock_;
   tcp::endpoint at_;
   Limits limits_;
@@ -55,8 +50,8 @@
   bool soon_ = false;             // nothing has been answered since a call failed, or since a move
   std::optional<HostList> base_;  // what the first answer after a move tells the changes of
   DiscoveryEvents& events_;
-  boost::asio::steady_timer timer_;
-  std::shared_ptr<Call> call_;  // null: no watch is on
+  Watch watch_;
+  bool watching_ = false;
 };
 
 }  // namespace finchstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -104,6 +104,25 @@
   carryOut();
 }
 
+void Gateway::takeTerms(const configuration::TermsChange& change) {
+  ridgeshift::Terms terms;
+  terms.classes = change.classes;
+  for (const auto& tenant : change.tenants)
+    if (tenant.quotaPerSecond) terms.tenants.push_back({tenant.index, *tenant.quotaPerSecond});
+  balancer_.onTerms(clock_.now(), terms);
+  for (const auto& tenant : change.tenants) {
+    if (tenant.quotaPerSecond) reader_.tenants().list(tenant.index, tenant.name);
+    else reader_.tenants().unlist(tenant.name);
+  }
+  for (const auto& cls : change.classes) {
+    ridgeshift::ClassSettings& settings = config_.settings.classes[cls.index];
+    settings.aim = cls.aim;
+    settings.worth = cls.worth;
+    settings.lateShare = cls.lateShare;
+  }
+  carryOut();
+}
+
 void Gateway::tune(const GatewayTuning& tuning) {
   listener_.tune(tuning.clients);
   pool_.tune(tuning.connecting, tuning.proofLeast);
@@ -308,8 +327,7 @@
   x->classIndex = q.classIndex;
   x->tenantIndex = q.tenantIndex;
   x->effect = config_.settings.classes[q.classIndex].effect;
-  if (q.tenantIndex < config_.settings.tenants.size())
-    x->tenant = config_.settings.tenants[q.tenantIndex].name;
+  x->tenant = reader_.tenants().name(q.tenantIndex);
   x->deadline = clock_.now() + q.left;
   x->whole = !q.arriving;
   if (q.arriving) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "configuration/store.hpp"
 #include "drain/plan.hpp"
 #include "net/attempts.hpp"
 #include "net/client.hpp"
@@ -49,6 +50,10 @@
   // Goes over to the discovery that `next` names; hosts, requests and connections stay as they are. All else
   // in it takes effect at the next start.
   void reload(const Config& next);
+  // Classes and tenants as they are from now on, all of them in one step. Requests that are open end under
+  // the terms with which they began. Throws std::invalid_argument if a term makes no sense; nothing is taken
+  // then.
+  void takeTerms(const configuration::TermsChange& change);
   // These must outlive the gateway. Gate, observer and log: before `start`.
   void addHostFilter(const HostFilter& filter) { filters_.push_back(&filter); }
   void setListGate(ListGate& gate) { gate_ = &gate; }
--- a/src/net/request.cpp
+++ b/src/net/request.cpp
@@ -50,13 +50,11 @@
 
 }  // namespace
 
-RequestReader::RequestReader(const ridgeshift::Settings& settings) {
+RequestReader::RequestReader(const ridgeshift::Settings& settings) : tenants_(settings.tenants) {
   for (std::size_t i = 0; i < settings.classes.size(); ++i) {
     const auto& c = settings.classes[i];
     classOf_.emplace(c.name, Class{static_cast<std::uint32_t>(i), c.effect, c.giveUp});
   }
-  for (std::size_t i = 0; i < settings.tenants.size(); ++i)
-    tenantOf_.emplace(settings.tenants[i].name, static_cast<std::uint32_t>(i));
 }
 
 http::status RequestReader::read(const ClientRequest& message, ridgeshift::Request& q) const {
@@ -77,8 +75,7 @@
   q.classIndex = c.index;
   // No client waits longer than its class allows; more would only make sums of times overflow.
   q.left = milliseconds(std::min<std::int64_t>(left, std::chrono::ceil<milliseconds>(c.giveUp).count()));
-  const auto tenant = tenantOf_.find(std::string(view(message["X-Account"])));
-  if (tenant != tenantOf_.end()) q.tenantIndex = tenant->second;
+  q.tenantIndex = tenants_.find(view(message["X-Account"]));
   std::int64_t micros = 0;
   constexpr std::int64_t kCostMost = 24LL * 3600 * 1000 * 1000;
   if (parse(view(message["X-Weight-Hint"]), micros) && micros > 0)
--- a/src/net/request.hpp
+++ b/src/net/request.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "net/client.hpp"
+#include "net/tenants.hpp"
 #include "ridgeshift/ridgeshift.hpp"
 
 namespace finchstile {
@@ -23,6 +24,9 @@
   // repeats an id would run as a second copy.
   boost::beast::http::status read(const ClientRequest& message, ridgeshift::Request& out) const;
 
+  TenantTable& tenants() { return tenants_; }
+  const TenantTable& tenants() const { return tenants_; }
+
  private:
   struct Class {
     std::uint32_t index = 0;
@@ -30,7 +34,7 @@
     Duration giveUp{};
   };
   std::unordered_map<std::string, Class> classOf_;
-  std::unordered_map<std::string, std::uint32_t> tenantOf_;
+  TenantTable tenants_;
 };
 
 }  // namespace finchstile
--- /dev/null
+++ b/src/net/watch.hpp
@@ -0,0 +1,57 @@
+// Calls over HTTP/1.1 that the other side may hold until there is something to tell, one after another on a
+// connection that is kept. Whoever watches says when the next call goes out.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "net/clock.hpp"
+
+namespace finchstile {
+
+struct WatchAnswer {
+  unsigned status = 0;
+  Duration retryAfter{};  // 0: it names none
+  std::string body;
+};
+
+class WatchEvents {
+ public:
+  virtual ~WatchEvents() = default;
+  virtual void onWatchAnswer(WatchAnswer&& answer) = 0;  // the next call may go out from within
+  virtual void onWatchLost() = 0;                        // no answer will come; the connection is gone
+};
+
+class Watch {
+ public:
+  // `bodyMost`: bytes of an answer at the most; a longer one counts as lost.
+  Watch(boost::asio::io_context& io, std::size_t bodyMost, WatchEvents& events);
+  ~Watch();
+
+  // Sends a GET for `target` and waits for its answer for `most`. One call is out at a time.
+  void call(const boost::asio::ip::tcp::endpoint& at, const std::string& target, Duration most);
+  void stop();  // ends the connection; nothing more is told of the call that is out
+
+  std::uint64_t bytesSent() const { return bytesSent_; }
+  std::uint64_t bytesReceived() const { return bytesReceived_; }
+
+ private:
+  struct Connection;
+  void write(const std::shared_ptr<Connection>& connection);
+  void read(const std::shared_ptr<Connection>& connection);
+  void answered(const std::shared_ptr<Connection>& connection);
+  void lost();
+
+  boost::asio::io_context& io_;
+  const std::size_t bodyMost_;
+  WatchEvents& events_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<Connection> connection_;  // null: none
+  std::uint64_t bytesSent_ = 0, bytesReceived_ = 0;
+};
+
+}  // namespace finchstile
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -55,7 +55,6 @@
 constexpr double kFullError = 0.5;  // "full" where a look compares hosts: the noise of choice by hearsay
 constexpr double kErrorPrior = 10;  // attempts assumed good, so that a handful of samples proves nothing
 
-constexpr double kQuotaBurst = 4;   // requests of one tenant that count as within its share at once
 constexpr std::size_t kDrawn = 24;  // hosts weighed for one pick: more would cost CPU and gain little
 constexpr std::size_t kMany = 32;   // more gateways than this, or than hosts, do not all meet all hosts
 constexpr std::size_t kSubset = 4;  // hosts of its own that one of many gateways keeps to,
@@ -126,7 +125,7 @@
   Impl(Settings s, Time t) {
     set = std::move(s);
     engine.seed(set.seed);
-    now = started = quotaAt = t;
+    now = started = t;
     nextSweep = t + kSweep;
     sweep = kSweep;
     outcomeSeen = kErrorPrior;
@@ -143,7 +142,7 @@
     unknown.effect = Effect::fragile;
     unknown.worth = 0;
     classes.push_back({unknown, 0, 0, {}, 0});
-    quotaTokens.assign(set.tenants.size(), kQuotaBurst);
+    for (const auto& tenant : set.tenants) tenants.push_back({tenant.quotaPerSecond, kQuotaBurst, t});
   }
 
   // --- Host health ------------------------------------------------------------------------------------
@@ -167,12 +166,12 @@
       // Danger: counted one by one, heavy answers make a gateway that is cut down to a heavy class think the
       // pool slow and starve. By its usual time an answer weighs as its work.
       const double weight = meanWork > 0 ? std::clamp(c.norm * r.cost / meanWork, 0.1, 10.0) : 1;
-      inTime += weight * (now <= r.aimAt ? 1 : c.set.lateShare);
+      inTime += weight * (now <= r.aimAt ? 1 : r.lateShare);
       if (guessing()) firstInTime += now <= r.aimAt;
     }
     // Time-outs count at their length: left out, a pool that turns slow would look as quick as its survivors.
     if (r.load >= 0 && (a.outcome == Outcome::served || a.outcome == Outcome::timeout)) {
-      const double part = std::min(taken / toSeconds(c.set.aim), 1.0) / (r.load + 1);
+      const double part = std::min(taken / toSeconds(r.aim), 1.0) / (r.load + 1);
       bareSeen = std::min(bareSeen + 1, kBareSamples);
       bareOfAim += (part - bareOfAim) / bareSeen;
     }
@@ -335,18 +334,14 @@
 
   // Worth of what the request can still earn, by request or by unit of work as the worth is counted.
   double worthOf(const Open& r, std::uint32_t tenant) {
-    const ClassSettings& c = classes[r.cls].set;
-    double worth = c.worth;
-    if (now >= r.aimAt) worth *= c.lateShare;
-    if (tenant < set.tenants.size() && set.tenants[tenant].quotaPerSecond > 0) {
+    double worth = classes[r.cls].set.worth * (now >= r.aimAt ? r.lateShare : 1);
+    if (tenant < tenants.size() && tenants[tenant].quota > 0) {
+      TenantState& t = tenants[tenant];
+      const double share = t.quota / set.groupSize;
       // Danger: a share of under one request a second would never fill a bucket of one second.
-      const double passed = toSeconds(now - quotaAt);
-      quotaAt = now;
-      for (std::size_t i = 0; i < quotaTokens.size(); ++i) {
-        const double share = set.tenants[i].quotaPerSecond / set.groupSize;
-        quotaTokens[i] = std::min(quotaTokens[i] + passed * share, std::max(share, kQuotaBurst));
-      }
-      if (quotaTokens[tenant] >= 1) quotaTokens[tenant] -= 1;
+      t.tokens = std::min(t.tokens + toSeconds(now - t.filled) * share, std::max(share, kQuotaBurst));
+      t.filled = now;
+      if (t.tokens >= 1) t.tokens -= 1;
       else worth *= set.overShareWorth;
     }
     return worth;
@@ -388,8 +383,8 @@
 
   double heldNow() const {
     double held = 0;
-    for (HostId id : listed)
-      if (!sick(hosts[id])) held += hosts[id].inflight;         // one bad host must not lift the pool's cut,
+    for (HostId id : busy)  // one bad host must not lift the pool's cut,
+      if (hosts[id].entry.phase == Phase::in && !sick(hosts[id])) held += hosts[id].inflight;
     return losing() ? held * (1 - lostTime / heldTime) : held;  // nor what nobody works at
   }
 
@@ -709,7 +704,7 @@
   // Latest time at which an answer still earns and still reaches the client.
   Time lastUse(const Open& r) const {
     const Time end = r.deadline - 2 * set.step;
-    return classes[r.cls].set.lateShare > 0 ? end : std::min(end, r.aimAt - 2 * set.step);
+    return r.lateShare > 0 ? end : std::min(end, r.aimAt - 2 * set.step);
   }
 
   bool canSend(const Open& r) const {
@@ -749,7 +744,7 @@
     const HostId drawn = pick(r);
     if (drawn == kNone) return false;
     r.load = -1;
-    const Duration wait = scaled(classes[r.cls].set.aim, kLookOfAim);
+    const Duration wait = scaled(r.aim, kLookOfAim);
     if (r.stream || !looks() || lastUse(r) - now < 2 * wait) return send(r, drawn);
     r.best = kNone;
     r.bestLoad = HUGE_VAL;
@@ -890,6 +885,8 @@
     ClassState& c = classes[r.cls];
     const double cost = toSeconds(q.cost);
     if (cost > 0) c.meanCost = c.meanCost > 0 ? c.meanCost + kNormGain * (cost - c.meanCost) : cost;
+    r.aim = c.set.aim;
+    r.lateShare = c.set.lateShare;
     r.cost = cost > 0 ? std::clamp(cost / c.meanCost, 0.2, 5.0) : 1.0;
     r.key = q.key;
     r.hasKey = q.hasKey;
@@ -1138,6 +1135,9 @@
 void Balancer::onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries) {
   impl_->at(now, [&](Impl& i) { i.onHosts(kind, entries); });
 }
+void Balancer::onTerms(Time now, const Terms& terms) {
+  impl_->at(now, [&](Impl& i) { takeTerms(i, terms); });
+}
 void Balancer::onRequest(Time now, const Request& request) {
   impl_->at(now, [&](Impl& i) { i.onRequest(request); });
 }
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -10,8 +10,6 @@
 namespace ridgeshift {
 namespace {
 
-constexpr std::size_t kItemsMost = 4096;  // classes, tenants: an absurd index must not fill the memory
-
 void require(bool good, const std::string& what) {
   if (!good) throw std::invalid_argument("ridgeshift settings: " + what);
 }
@@ -38,7 +36,8 @@
 
 // Splits "<head>.<index>.<field>" and returns the item of that index, or null for any other path.
 template <class T>
-T* item(std::vector<T>& items, std::string_view path, std::string_view head, std::string_view& field) {
+T* item(std::vector<T>& items, std::size_t most, std::string_view path, std::string_view head,
+        std::string_view& field) {
   if (path.substr(0, head.size()) != head || path.size() <= head.size() || path[head.size()] != '.')
     return nullptr;
   path.remove_prefix(head.size() + 1);
@@ -48,8 +47,9 @@
   const auto [end, error] = std::from_chars(path.data(), path.data() + dot, index);
   if (error != std::errc{} || end != path.data() + dot) return nullptr;
   // Danger: an item that is passed over in silence is a class or tenant whose requests are turned away later.
-  require(index < kItemsMost, std::string(head) + " has more than " + std::to_string(kItemsMost) +
-                                  " items: there is one numbered " + std::to_string(index));
+  // An absurd index must not fill the memory.
+  require(index < most, std::string(head) + " has more than " + std::to_string(most) +
+                            " items: there is one numbered " + std::to_string(index));
   field = path.substr(dot + 1);
   if (items.size() <= index) items.resize(index + 1);
   return &items[index];
@@ -95,8 +95,8 @@
   else if (n == "rules.coldShare") s.coldShare = v.number<double>();
   else if (n == "rules.fallMultiple") s.fallMultiple = v.number<double>();
   else if (n == "rules.fallNs") s.fallWindow = v.span();
-  else if (ClassSettings* c = item(s.classes, n, "grades", field)) applyToClass(*c, field, v);
-  else if (TenantSettings* t = item(s.tenants, n, "tenants", field)) {
+  else if (ClassSettings* c = item(s.classes, kClassesMost, n, "grades", field)) applyToClass(*c, field, v);
+  else if (TenantSettings* t = item(s.tenants, kTenantsMost, n, "tenants", field)) {
     if (field == "name") t->name = text;
     else if (field == "quotaRps") t->quotaPerSecond = v.number<double>();
   }
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -46,6 +46,7 @@
 
 constexpr Duration kLogEvery = std::chrono::seconds(1);  // log lines are few
 constexpr std::size_t kTries = 8;                        // attempts kept for one request
+constexpr double kQuotaBurst = 4;  // requests of one tenant that count as within its share at once
 
 enum class Health { good, ejected, trial };
 
@@ -57,7 +58,8 @@
   std::uint32_t hash32() const { return static_cast<std::uint32_t>(hash); }
   bool local = false;
   int inflight = 0;
-  double pace = 1;  // time taken against the class's usual time
+  std::size_t busyAt = 0;  // its place in State::busy, while it holds something
+  double pace = 1;         // time taken against the class's usual time
   double fails = 0;
   double served = 0, rate = 0;      // answers since the last sweep; answers a second
   std::size_t kind = 0;             // into kinds
@@ -132,7 +134,9 @@
   RequestId id = 0;
   std::uint32_t cls = kNone;
   Time deadline{}, aimAt{};
-  double cost = 0;  // against the class's mean
+  double cost = 0;       // against the class's mean
+  Duration aim{};        // of its class, as it came
+  double lateShare = 0;  // the same
   std::uint64_t key = 0;
   bool hasKey = false, ended = false, bound = false;
   bool homeFirst = false, stream = false;
@@ -165,6 +169,13 @@
   double lateSeen = 0;  // part of its recent requests that look like late tries
 };
 
+// A tenant's token bucket, filled when it is used: all of them at each request would cost more than the
+// request.
+struct TenantState {
+  double quota = 0, tokens = 0;  // a second, over all gateways; requests within its share at once
+  Time filled{};
+};
+
 struct Guard {
   Time at;
   RequestId id;
@@ -181,13 +192,13 @@
   std::unordered_map<std::uint32_t, HostId> byHash;  // as peers name them
   std::unordered_map<std::uint64_t, Time> deaf;      // groups whose keeper is silent: until when
   Duration longestAim{}, sweep{};
+  std::vector<HostId> busy;    // hold something of ours, in no order
   std::vector<HostId> listed;  // phase `in`, in order of address: the same order at every start
   std::vector<HostId> order;   // the same, as this gateway prefers them,
   std::size_t kept = 0;        // and how many it keeps to
   std::vector<ClassState> classes;
   std::vector<Kind> kinds;
-  std::vector<double> quotaTokens;
-  Time quotaAt{};
+  std::vector<TenantState> tenants;
   std::unordered_map<RequestId, Open> requests;
   std::vector<Level> levels;
   std::priority_queue<Guard, std::vector<Guard>, std::greater<>> guards;
@@ -243,12 +254,19 @@
 
   // What hosts hold and are sent, counted.
   void hold(const Open& r, Try& t) {
+    Host& h = hosts[t.host];
     t.held = true;
-    hosts[t.host].sent.push_back(r.id);
-    ++hosts[t.host].inflight;
+    h.sent.push_back(r.id);
+    if (++h.inflight > 1) return;
+    h.busyAt = busy.size();
+    busy.push_back(h.id);
   }
   void letGo(Try& t) {
-    if (std::exchange(t.held, false)) --hosts[t.host].inflight;
+    Host& h = hosts[t.host];
+    if (!std::exchange(t.held, false) || --h.inflight > 0) return;
+    hosts[busy.back()].busyAt = h.busyAt;
+    busy[h.busyAt] = busy.back();
+    busy.pop_back();
   }
   void beginStream(Try& t) {
     t.stream = true;
@@ -297,6 +315,9 @@
   bool mayLog() const { return now - logged >= kLogEvery || logged == Time{}; }
 };
 
+// Checks all of `terms` first and throws std::invalid_argument; else takes them over in one step.
+void takeTerms(State& state, const Terms& terms);
+
 Learned learnedOf(const State& state);
 void recallInto(State& state, const Learned& learned);
 
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -104,11 +104,29 @@
   EXPECT_EQ(c.settings.tenants.back().quotaPerSecond, 1.5);
 }
 
+// Hard case: the size to design for.
+TEST(Config, TwentySevenThousandTenantsAreRead) {
+  const Clock clock;
+  json config = configJson({asio::ip::make_address("127.0.0.1"), 1}, json::array());
+  for (int i = 0; i < 27000; ++i)
+    config["settings"]["tenants"].push_back({{"name", "t-" + std::to_string(i)}, {"quotaRps", 1.5}});
+  const Config c = readConfig(config.dump(), clock);
+  ASSERT_EQ(c.settings.tenants.size(), 27000u);
+  EXPECT_EQ(c.settings.tenants.back().name, "t-26999");
+}
+
 TEST(Config, ItemsBeyondTheBoundAreNamedAndNotPassedOver) {
+  EXPECT_NE(complaint([](json& c) {
+              const json grade = c["settings"]["grades"][0];
+              for (std::size_t i = 3; i < ridgeshift::kClassesMost + 1; ++i)
+                c["settings"]["grades"].push_back(grade);
+            }).find("grades has more than 4096 items: there is one numbered 4096"),
+            std::string::npos);
   EXPECT_NE(complaint([](json& c) {
               const json tenant = {{"name", "t"}, {"quotaRps", 1}};
-              for (int i = 0; i < 4097; ++i) c["settings"]["tenants"].push_back(tenant);
-            }).find("tenants has more than 4096 items: there is one numbered 4096"),
+              for (std::size_t i = 0; i < ridgeshift::kTenantsMost + 1; ++i)
+                c["settings"]["tenants"].push_back(tenant);
+            }).find("tenants has more than 131072 items: there is one numbered 131072"),
             std::string::npos);
 }
 
--- /dev/null
+++ b/tests/scale/slopes_test.cpp
@@ -0,0 +1,67 @@
+// What a request costs must not grow with the hosts and tenants of a deployment: processor time at two sizes,
+// in one process, the least of several runs. The bounds are far above the noise and far below the slopes that
+// they guard against (30 and 60 times).
+#include <gtest/gtest.h>
+#include <time.h>
+
+#include <algorithm>
+
+#include "support/driver.hpp"
+
+namespace ridgeshift::testing {
+namespace {
+
+constexpr double kSlopeMost = 8;  // times the cost at the small size
+constexpr int kRuns = 7, kRequests = 500;
+constexpr std::uint32_t kGateways = 520;
+
+double processorSeconds() {
+  timespec t{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+  return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) * 1e-9;
+}
+
+// The least processor time of a request that is answered, in seconds.
+double costOfRequest(int hosts, int tenants) {
+  Settings s = makeSettings();
+  s.groupSize = kGateways;
+  for (int i = 0; i < tenants; ++i) s.tenants.push_back({"tenant-" + std::to_string(i), 50});
+  Balancer balancer(s, seconds(100));
+  std::vector<HostEntry> list;
+  for (int i = 0; i < hosts; ++i) list.push_back(makeHost(i));
+  Time now = seconds(100);
+  balancer.onHosts(now, ListKind::replace, list);
+  RequestId last = 0;
+  double least = 1e9;
+  for (int run = 0; run < kRuns; ++run) {
+    const double begun = processorSeconds();
+    for (int i = 0; i < kRequests; ++i) {
+      now += milliseconds(4);
+      Request q;
+      q.id = ++last;
+      q.classIndex = 0;
+      if (tenants > 0)
+        q.tenantIndex = static_cast<std::uint32_t>(last * 7919 % static_cast<RequestId>(tenants));
+      q.left = seconds(1);
+      balancer.actions().clear();
+      balancer.onRequest(now, q);
+      const auto actions = balancer.actions();
+      for (const Action& a : actions)
+        if (a.kind == ActionKind::send)
+          balancer.onResult(now, {a.request, a.attempt, a.host, Outcome::served, milliseconds(20), true});
+    }
+    least = std::min(least, (processorSeconds() - begun) / kRequests);
+  }
+  return least;
+}
+
+TEST(Slopes, ARequestCostsTheSameBefore46And6400Hosts) {
+  EXPECT_LT(costOfRequest(6400, 0), kSlopeMost * costOfRequest(46, 0));
+}
+
+TEST(Slopes, ARequestCostsTheSameFor100And27000Tenants) {
+  EXPECT_LT(costOfRequest(46, 27000), kSlopeMost * costOfRequest(46, 100));
+}
+
+}  // namespace
+}  // namespace ridgeshift::testing
