The distribution of configuration is tested by its hard cases, with stand-in control machines

Need: a change must not lose a request, and whatever a control machine does the last good version has to stay. A watch and a client may be destroyed while calls are in their loop: a test ended in freed memory before.

--- a/src/configuration/client.cpp
+++ b/src/configuration/client.cpp
@@ -101,8 +101,8 @@
   const Sources::Choice choice = sources_.choose(clock_.now(), draw());
   source_ = choice.source;
   timer_.expires_at(clock_.steady(std::max(notBefore, choice.at)));
-  timer_.async_wait([this](const boost::system::error_code& stopped) {
-    if (!stopped && running_) ask();
+  timer_.async_wait([alive = alive_](const boost::system::error_code& stopped) {
+    if (!stopped && *alive && (*alive)->running_) (*alive)->ask();
   });
 }
 
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -27,7 +27,9 @@
 }  // namespace
 
 struct Watch::Connection {
-  Connection(boost::asio::io_context& io, const tcp::endpoint& at) : socket(io), to(at) {}
+  Connection(boost::asio::io_context& io, const tcp::endpoint& at, Watch& watch)
+      : owner(&watch), socket(io), to(at) {}
+  Watch* owner;  // null once it has nothing to do with this connection any more; it may be gone then
   tcp::socket socket;
   const tcp::endpoint to;
   boost::beast::flat_buffer buffer;
@@ -38,11 +40,12 @@
 
 Watch::Watch(boost::asio::io_context& io, std::size_t bodyMost, WatchEvents& events)
     : io_(io), bodyMost_(bodyMost), events_(events), timer_(io) {}
-Watch::~Watch() = default;
+Watch::~Watch() { stop(); }
 
 void Watch::stop() {
   timer_.cancel();
   if (const auto connection = std::exchange(connection_, nullptr)) {
+    connection->owner = nullptr;
     error_code ignored;
     connection->socket.close(ignored);
   }
@@ -50,43 +53,46 @@
 
 void Watch::call(const tcp::endpoint& at, const std::string& target, Duration most) {
   if (connection_ && connection_->to != at) stop();
-  if (!connection_) connection_ = std::make_shared<Connection>(io_, at);
+  if (!connection_) connection_ = std::make_shared<Connection>(io_, at, *this);
   const auto connection = connection_;
   // Danger: whoever was cut off says nothing, ever.
   timer_.expires_after(most);
-  timer_.async_wait([this, connection](error_code stopped) {
-    if (!stopped && connection == connection_) lost();
+  timer_.async_wait([connection](error_code stopped) {
+    if (!stopped && connection->owner) connection->owner->lost();
   });
   connection->request = {http::verb::get, target, 11};
   connection->request.set(http::field::host, at.address().to_string() + ":" + std::to_string(at.port()));
   connection->parser.emplace();
   connection->parser->body_limit(bodyMost_);
   if (connection->connected) return write(connection);
-  connection->socket.async_connect(at, [this, connection](error_code error) {
-    if (connection != connection_) return;
-    if (error) return lost();
+  connection->socket.async_connect(at, [connection](error_code error) {
+    Watch* const owner = connection->owner;
+    if (!owner) return;
+    if (error) return owner->lost();
     connection->connected = true;
-    write(connection);
+    owner->write(connection);
   });
 }
 
 void Watch::write(const std::shared_ptr<Connection>& connection) {
   http::async_write(connection->socket, connection->request,
-                    [this, connection](error_code error, std::size_t bytes) {
-                      if (connection != connection_) return;
-                      bytesSent_ += bytes;
-                      if (error) return lost();
-                      read(connection);
+                    [connection](error_code error, std::size_t bytes) {
+                      Watch* const owner = connection->owner;
+                      if (!owner) return;
+                      owner->bytesSent_ += bytes;
+                      if (error) return owner->lost();
+                      owner->read(connection);
                     });
 }
 
 void Watch::read(const std::shared_ptr<Connection>& connection) {
   http::async_read(connection->socket, connection->buffer, *connection->parser,
-                   [this, connection](error_code error, std::size_t bytes) {
-                     if (connection != connection_) return;
-                     bytesReceived_ += bytes;
-                     if (error) return lost();
-                     answered(connection);
+                   [connection](error_code error, std::size_t bytes) {
+                     Watch* const owner = connection->owner;
+                     if (!owner) return;
+                     owner->bytesReceived_ += bytes;
+                     if (error) return owner->lost();
+                     owner->answered(connection);
                    });
 }
 
--- /dev/null
+++ b/tests/app/configuration_test.cpp
@@ -0,0 +1,119 @@
+// The program with [configuration] in the operator's file: signals and restarts in the midst of a change.
+#include <csignal>
+
+#include "control_machine.hpp"
+#include "support/process.hpp"
+#include "support/sockets.hpp"
+
+namespace finchstile::testing {
+namespace {
+
+using configuration::Change;
+using configuration::TenantDocument;
+using std::chrono::milliseconds;
+
+struct ConfiguredProgram : ::testing::Test {
+  asio::io_context io;
+  Server discovery{io, [](const auto&, const Received&) {}};
+  Server host{io, [](const auto& peer, const Received&) { peer->reply(200, "ok"); }};
+  standin::ControlMachine machine{io, standin::ControlLog::Settings{}};
+  Folder folder;
+  std::unique_ptr<Process> program;
+  tcp::endpoint at;
+  std::uint64_t pollsBefore = 0;
+
+  void configure() {
+    at = tcp::acceptor(io, loopback()).local_endpoint();
+    json config = configJson(discovery.endpoint(), json::array({hostJson("s-0", host.endpoint())}));
+    config["listen"] = text(at);
+    folder.write("config.json", config.dump());
+    folder.write("operator.toml", "[configuration]\nenabled = true\nsources = [\"" + machine.address() +
+                                      "\"]\nwait = \"300ms\"\nfile = \"kept.json\"\n");
+  }
+  void launch() {
+    pollsBefore = machine.polls();
+    setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
+    program = std::make_unique<Process>(
+        FINCHSTILE_PROGRAM, std::vector<std::string>{"run", "--operator", folder / "operator.toml"},
+        folder / "log");
+  }
+  bool until(const std::function<bool()>& reached) { return runUntil(io, reached); }
+  // The process that was launched last tells that it has this revision.
+  bool told(std::uint64_t revision) {
+    const auto has = [&] { return machine.polls() > pollsBefore && machine.log.have({1, revision}) == 1; };
+    return until([&] { return has() || program->ended(); }) && !program->ended();
+  }
+  static std::vector<Change> manyTenants(double quota) {
+    std::vector<Change> all;
+    for (int i = 0; i < 27000; ++i) {
+      const std::string name = "tenant-" + std::to_string(i);
+      all.push_back({"tenant/" + name, TenantDocument{name, quota}});
+    }
+    return all;
+  }
+};
+
+// Hard case: SIGHUP and SIGTERM in the midst of taking over, and a restart. The process ends in order, the
+// next one has the last good version from its start on, and asks for no whole.
+TEST_F(ConfiguredProgram, SignalsAndARestartInTheMidstOfAChange) {
+  configure();
+  machine.publish(manyTenants(1));
+  launch();
+  ASSERT_TRUE(told(1)) << program->logged();
+  machine.publish(manyTenants(2));
+  program->signal(SIGHUP);
+  ASSERT_TRUE(told(2)) << program->logged();
+  machine.publish(manyTenants(3));
+  program->signal(SIGHUP);
+  program->signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_EQ(program->wait(), 0) << program->logged();
+  const std::uint64_t wholes = machine.log.wholes();
+  launch();
+  ASSERT_TRUE(told(3)) << program->logged();
+  EXPECT_NE(program->logged().find("in force, from "), std::string::npos) << program->logged();
+  EXPECT_EQ(machine.log.wholes(), wholes);
+  program->signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_EQ(program->wait(), 0);
+}
+
+// Hard case: killed at any moment, the file is one whole version or another.
+TEST_F(ConfiguredProgram, KilledWhileItWritesTheFileIsOneVersionOrTheOther) {
+  configure();
+  machine.publish(manyTenants(1));
+  for (int i = 0; i < 6; ++i) {
+    launch();
+    const std::uint64_t revision = machine.log.version().revision;
+    ASSERT_TRUE(told(revision)) << program->logged();
+    machine.publish(manyTenants(2 + i));
+    const auto end = std::chrono::steady_clock::now() + milliseconds(5 + 17 * i);
+    until([&] { return std::chrono::steady_clock::now() >= end; });
+    program->signal(SIGKILL);
+    ASSERT_TRUE(until([&] { return program->ended(); }));
+    const configuration::Update kept = configuration::parseUpdate(readFile(folder / "kept.json"));
+    EXPECT_EQ(kept.changes.size(), 27000u);
+    EXPECT_TRUE(kept.problems.empty());
+    EXPECT_GE(kept.version.revision, revision);
+  }
+}
+
+TEST_F(ConfiguredProgram, WrongSettingsAreNamedWithTheirLine) {
+  configure();
+  folder.write(
+      "operator.toml",
+      "[configuration]\nenabled = true\nsources = [\"10.0.0.1\"]\nwait = \"0s\"\nretry_least = \"20s\"\n"
+      "retry_most = \"1s\"\nfiel = \"x\"\n[idempotency]\nenabled = true\n");
+  launch();
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_NE(program->wait(), 0);
+  const std::string log = program->logged();
+  for (const char* part :
+       {":3: configuration.sources has '10.0.0.1', which is no address and port, as 10.0.0.1:7000 is",
+        ":4: configuration.wait", ":6: configuration.retry_most must be as long as configuration.retry_least",
+        ":7: unknown key configuration.fiel", "can't be enabled together with [idempotency]"})
+    EXPECT_NE(log.find(part), std::string::npos) << part << " in\n" << log;
+}
+
+}  // namespace
+}  // namespace finchstile::testing
--- /dev/null
+++ b/tests/configuration/gateway_test.cpp
@@ -0,0 +1,196 @@
+// Changes of the configuration at a gateway that serves, over loopback sockets.
+#include <boost/asio/thread_pool.hpp>
+
+#include "configuration/client.hpp"
+#include "configuration/documents.hpp"
+#include "control_machine.hpp"
+#include "support/gateway_fixture.hpp"
+
+namespace finchstile::configuration::testing {
+namespace {
+
+using finchstile::testing::hold;
+using finchstile::testing::json;
+using finchstile::testing::Peer;
+using finchstile::testing::Received;
+using finchstile::testing::serveOk;
+using std::chrono::milliseconds;
+using TestClient = finchstile::testing::Client;
+
+// Notes the tenant of each request, as it comes and as it ends.
+struct TenantLog : Stage {
+  std::vector<std::string> arrived, ended;
+  std::uint8_t phases() const override {
+    return phaseBit(RequestPhase::arrived) | phaseBit(RequestPhase::ended);
+  }
+  Arrival onArrived(Exchange& x) override {
+    arrived.emplace_back(x.tenant);
+    return {};
+  }
+  void onEnded(Exchange& x, RequestEnd) override { ended.emplace_back(x.tenant); }
+};
+
+struct ConfiguredGateway : finchstile::testing::GatewayTest {
+  boost::asio::thread_pool worker{1};
+  standin::ControlMachine machine{io, standin::ControlLog::Settings{}};
+  TenantLog tenants;
+  std::unique_ptr<configuration::Client> client;
+  std::vector<TermsChange> taken;
+
+  void TearDown() override {
+    client.reset();
+    worker.join();
+  }
+  void startConfigured() {
+    json config = finchstile::testing::configJson(discovery.endpoint(), listed());
+    config["settings"]["tenants"] = json::array({{{"name", "acme"}, {"quotaRps", 5.0}}});
+    Config read = readConfig(config.dump(), clock);
+    const ridgeshift::Settings settings = read.settings;
+    gateway = std::make_unique<Gateway>(io, clock, std::move(read));
+    gateway->attach(tenants);
+    gateway->start();
+    ConfigurationSettings s;
+    s.addresses = {machine.address()};
+    s.endpoints = {machine.endpoint()};
+    s.wait = milliseconds(300);
+    s.pace = milliseconds(0);
+    client = std::make_unique<configuration::Client>(
+        io, worker.get_executor(), clock, s, "n0", 7, settings,
+        [this](const TermsChange& change) {
+          gateway->takeTerms(change);
+          taken.push_back(change);
+        },
+        [](const std::string&) {});
+    client->start();
+  }
+  bool inForce(const Version& version) {
+    return until([&] { return client->figures().inForce == version; });
+  }
+  void ask(TestClient& c, const std::string& tenant) {
+    c.ask("GET", "/read", 2500, "", "X-Account: " + tenant + "\r\n");
+  }
+};
+
+// Hard case: a change in the midst of a burst of requests. Each is answered once, and none is lost.
+TEST_F(ConfiguredGateway, ChangesInABurstLoseNoRequest) {
+  host(serveOk);
+  host(serveOk);
+  startConfigured();
+  constexpr int kClients = 16;
+  constexpr std::size_t kChanges = 40;
+  std::vector<std::shared_ptr<TestClient>> clients;
+  for (int i = 0; i < kClients; ++i) clients.push_back(TestClient::connect(io, gateway->endpoint()));
+  int round = 0;
+  for (; taken.size() < kChanges; ++round) {
+    ASSERT_LT(round, 5000);
+    const std::string name = "tenant-" + std::to_string(round % 7);
+    for (auto& c : clients) ask(*c, name);
+    machine.publish(
+        {round % 3 == 0 ? noTenant(name) : tenant(name, round), classOf("read", 1 + round % 5, 1000)});
+    ASSERT_TRUE(until([&] {
+      return std::all_of(clients.begin(), clients.end(), [&](const auto& c) {
+        return c->answers.size() == static_cast<std::size_t>(round + 1);
+      });
+    }));
+  }
+  for (const auto& c : clients) {
+    EXPECT_FALSE(c->ended);
+    for (const auto& answer : c->answers) EXPECT_EQ(answer.result_int(), 200u);
+  }
+  EXPECT_TRUE(inForce(machine.log.version()));
+  EXPECT_EQ(received(), static_cast<std::size_t>(kClients * round));
+}
+
+// Hard case: a tenant is removed while a request of it is open, and added again.
+TEST_F(ConfiguredGateway, ATenantThatIsRemovedKeepsItsOpenRequests) {
+  auto& held = host(hold);
+  startConfigured();
+  const auto c = TestClient::connect(io, gateway->endpoint());
+  ask(*c, "acme");
+  ASSERT_TRUE(until([&] { return held.received.size() == 1; }));
+  machine.publish({tenant("other", 1)});  // the first version is the whole truth: acme is not in it
+  ASSERT_TRUE(inForce({1, 1}));
+  held.peers[0]->reply(200, "ok");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+  held.handler = serveOk;
+  ask(*c, "acme");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 2; }));
+  machine.publish({tenant("acme", 7)});
+  ASSERT_TRUE(inForce({1, 2}));
+  ask(*c, "acme");
+  ASSERT_TRUE(until([&] { return c->answers.size() == 3; }));
+  EXPECT_EQ(tenants.arrived, (std::vector<std::string>{"acme", "", "acme"}));
+  ASSERT_TRUE(until([&] { return tenants.ended.size() == 3; }));
+  EXPECT_EQ(tenants.ended, tenants.arrived);
+}
+
+// A quota that falls shows in who is refused, with no restart: hosts that fail two fifths of what they are
+// sent keep the cutoff above the scores of what goes beyond a share.
+TEST_F(ConfiguredGateway, ANewQuotaShowsInWhoIsRefused) {
+  int answers = 0;
+  const auto failsOften = [&](const std::shared_ptr<Peer>& peer, const Received&) {
+    peer->reply(++answers % 5 < 2 ? 500 : 200, "ok");
+  };
+  for (int i = 0; i < 4; ++i) host(failsOften);
+  startConfigured();
+  machine.publish({tenant("heavy", 100000), tenant("light", 100000)});
+  ASSERT_TRUE(inForce({1, 1}));
+  const auto c = TestClient::connect(io, gateway->endpoint());
+  std::map<std::string, int> refused;
+  const auto play = [&](int rounds) {
+    refused.clear();
+    for (int i = 0; i < rounds; ++i)
+      for (const std::string name : {"heavy", "heavy", "light"}) {
+        const std::size_t before = c->answers.size();
+        ask(*c, name);
+        ASSERT_TRUE(until([&] { return c->answers.size() > before; }));
+        refused[name] += c->answers.back().result_int() == 503;
+      }
+  };
+  play(1500);
+  const int heavyBefore = refused["heavy"];
+  machine.publish({tenant("heavy", 5)});
+  ASSERT_TRUE(inForce({1, 2}));
+  play(1500);
+  EXPECT_GT(refused["heavy"], 2 * heavyBefore + 50);
+  EXPECT_GT(refused["heavy"], 5 * refused["light"]);
+}
+
+// Hard case: 27,000 tenants at once, by a gateway that serves.
+TEST_F(ConfiguredGateway, TwentySevenThousandTenantsAreTakenWhileItServes) {
+  host(serveOk);
+  startConfigured();
+  std::vector<Change> all;
+  for (int i = 0; i < 27000; ++i) all.push_back(tenant("tenant-" + std::to_string(i), 50));
+  machine.publish(all);
+  const auto c = TestClient::connect(io, gateway->endpoint());
+  while (client->figures().inForce != Version{1, 1}) {
+    const std::size_t before = c->answers.size();
+    ask(*c, "tenant-26999");
+    ASSERT_TRUE(until([&] { return c->answers.size() > before; }));
+    ASSERT_EQ(c->answers.back().result_int(), 200u);
+  }
+  ask(*c, "tenant-26999");
+  ASSERT_TRUE(until([&] { return tenants.ended.size() == c->answers.size() && tenants.ended.back() != ""; }));
+  EXPECT_EQ(client->figures().tenants, 27000u);
+}
+
+TEST_F(ConfiguredGateway, ABadRevisionLeavesTheLastGoodOneInForce) {
+  host(serveOk);
+  startConfigured();
+  machine.publish({tenant("good", 1)});
+  ASSERT_TRUE(inForce({1, 1}));
+  machine.publish({tenant("later", 1), classOf("read", 1, 600000)});
+  ASSERT_TRUE(until([&] { return client->figures().turnedDown == 1; }));
+  const auto c = TestClient::connect(io, gateway->endpoint());
+  for (const char* name : {"good", "later"}) {
+    const std::size_t before = c->answers.size();
+    ask(*c, name);
+    ASSERT_TRUE(until([&] { return c->answers.size() > before; }));
+  }
+  EXPECT_EQ(tenants.arrived, (std::vector<std::string>{"good", ""}));
+}
+
+}  // namespace
+}  // namespace finchstile::configuration::testing
--- /dev/null
+++ b/tools/control_log.hpp
@@ -0,0 +1,143 @@
+// What a stand-in control machine knows: the set of documents, what each revision changed, and which version
+// each gateway has told of. No I/O.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "configuration/document.hpp"
+#include "configuration/poll.hpp"
+#include "configuration/update.hpp"
+
+namespace finchstile::standin {
+
+struct ControlReply {
+  unsigned status = 200;
+  std::string body;
+  double retryAfter = 0;  // seconds; 0: none
+};
+
+class ControlLog {
+ public:
+  struct Settings {
+    std::uint64_t epoch = 1;
+    std::size_t kept = 1000;         // revisions of which it is known what they changed
+    double wholeBytesPerSecond = 0;  // of wholes that are given out; 0: no bound
+  };
+  // What a gateway has told with its last poll.
+  struct Report {
+    configuration::Version inForce;
+    std::optional<configuration::Position::TurnedDown> turnedDown;
+  };
+
+  ControlLog() = default;
+  explicit ControlLog(const Settings& settings) : settings_(settings), version_{settings.epoch, 0} {}
+
+  // A new revision; a key that stands twice in `changes` has its last document.
+  configuration::Version publish(const std::vector<configuration::Change>& changes) {
+    ++version_.revision;
+    std::vector<std::string>& keys = changed_[version_.revision];
+    for (const configuration::Change& change : changes) {
+      set(change);
+      keys.push_back(change.key);
+    }
+    history_[version_.revision] = {version_.epoch, hash_};
+    while (changed_.size() > settings_.kept) {
+      history_.erase(changed_.begin()->first);
+      changed_.erase(changed_.begin());
+    }
+    cached_.clear();
+    return version_;
+  }
+  // Another writer goes on from here.
+  void takeOver(std::uint64_t epoch) { version_.epoch = epoch; }
+  // The next answers tell this hash in place of the true one: a replica that miscounts.
+  void miscount(std::uint64_t by) { hash_ += by; }
+
+  const configuration::Version& version() const { return version_; }
+  std::uint64_t hash() const { return hash_; }
+  const std::map<std::string, Report>& reports() const { return reports_; }
+  std::uint64_t wholes() const { return wholes_; }
+  std::size_t have(const configuration::Version& version) const {
+    return static_cast<std::size_t>(std::count_if(
+        reports_.begin(), reports_.end(), [&](const auto& r) { return r.second.inForce >= version; }));
+  }
+
+  void note(const configuration::Poll& poll) {
+    reports_[poll.gateway] = {poll.position.version, poll.position.turnedDown};
+  }
+  // None: there is nothing newer; the poll may be held. `now` in seconds.
+  std::optional<ControlReply> answer(const configuration::Poll& poll, double now) {
+    const configuration::Position& at = poll.position;
+    if (at.turnedDown && at.turnedDown->version == version_ && at.turnedDown->hash == hash_)
+      return std::nullopt;
+    if (version_.revision == 0 || at.version > version_) return std::nullopt;
+    if (at.version == version_ && at.hash == hash_ && !at.wantsWhole) return std::nullopt;
+    const auto known = history_.find(at.version.revision);
+    const bool ancestor = known != history_.end() && known->second.epoch == at.version.epoch &&
+                          known->second.hash == at.hash && at.version.revision < version_.revision;
+    if (ancestor && !at.wantsWhole) return ControlReply{200, changesSince(at.version.revision), 0};
+    return whole(now);
+  }
+  ControlReply noNews() const { return {200, configuration::updateText(version_, hash_, false, {}), 0}; }
+
+ private:
+  struct Point {
+    std::uint64_t epoch = 0, hash = 0;
+  };
+
+  void set(const configuration::Change& change) {
+    auto& entry = documents_[change.key];
+    if (entry.document) hash_ -= hashOf(*entry.document);
+    if (change.document) hash_ += hashOf(*change.document);
+    entry = change;
+  }
+  static std::uint64_t hashOf(const configuration::Document& document) {
+    return std::visit([](const auto& d) { return configuration::hashOf(d); }, document);
+  }
+  const std::string& changesSince(std::uint64_t revision) {
+    std::string& text = cached_[revision];
+    if (!text.empty()) return text;
+    std::set<std::string> keys;
+    for (auto it = changed_.upper_bound(revision); it != changed_.end(); ++it)
+      keys.insert(it->second.begin(), it->second.end());
+    std::vector<std::string> entries;
+    for (const std::string& key : keys) entries.push_back(configuration::entryText(documents_.at(key)));
+    return text = configuration::updateText(version_, hash_, false, entries);
+  }
+  ControlReply whole(double now) {
+    std::string& text = cached_[kWhole];
+    if (text.empty()) {
+      std::vector<std::string> entries;
+      for (const auto& [key, change] : documents_)
+        if (change.document) entries.push_back(configuration::entryText(change));
+      text = configuration::updateText(version_, hash_, true, entries);
+    }
+    if (settings_.wholeBytesPerSecond > 0) {
+      if (freeAt_ > now) return {503, "", freeAt_ - now};
+      freeAt_ = now + static_cast<double>(text.size()) / settings_.wholeBytesPerSecond;
+    }
+    ++wholes_;
+    return {200, text, 0};
+  }
+
+  static constexpr std::uint64_t kWhole = UINT64_MAX;  // in cached_
+
+  Settings settings_;
+  configuration::Version version_{1, 0};
+  std::uint64_t hash_ = 0;
+  std::map<std::string, configuration::Change> documents_;
+  std::map<std::uint64_t, std::vector<std::string>> changed_;  // keys by revision
+  std::map<std::uint64_t, Point> history_;
+  std::map<std::uint64_t, std::string> cached_;  // texts of this revision, by the revision that is asked from
+  std::map<std::string, Report> reports_;
+  double freeAt_ = 0;
+  std::uint64_t wholes_ = 0;
+};
+
+}  // namespace finchstile::standin
--- /dev/null
+++ b/tools/control_machine.hpp
@@ -0,0 +1,158 @@
+// A stand-in for a control machine on loopback: polls that are held, and faults on demand.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control_log.hpp"
+
+namespace finchstile::standin {
+
+enum class ControlFault {
+  none,
+  silent,   // takes calls and never answers, and what it had held stays unanswered too
+  half,     // answers in half, and says no more
+  cut,      // answers in half and closes
+  garbled,  // answers what is no update
+};
+
+class ControlMachine {
+ public:
+  using tcp = boost::asio::ip::tcp;
+  using error_code = boost::system::error_code;
+
+  ControlMachine(boost::asio::io_context& io, const ControlLog::Settings& settings)
+      : log(settings), io_(io), acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    at_ = acceptor_.local_endpoint();
+    accept();
+  }
+
+  ControlLog log;
+  ControlFault fault = ControlFault::none;
+
+  tcp::endpoint endpoint() const { return at_; }
+  std::string address() const { return at_.address().to_string() + ":" + std::to_string(at_.port()); }
+  std::uint64_t polls() const { return polls_; }
+  std::uint64_t bytesSent() const { return bytes_; }
+
+  configuration::Version publish(const std::vector<configuration::Change>& changes) {
+    const configuration::Version version = log.publish(changes);
+    answerHeld();
+    return version;
+  }
+  // To be called when the log was changed from outside.
+  void answerHeld() {
+    for (const auto& session : std::vector(held_.begin(), held_.end())) session->look();
+  }
+  // Its connections end, and nobody can connect any more.
+  void kill() {
+    error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto& session : std::vector(sessions_.begin(), sessions_.end())) session->close();
+  }
+  void restart() {
+    acceptor_ = tcp::acceptor(io_);
+    acceptor_.open(at_.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at_);
+    acceptor_.listen();
+    accept();
+  }
+
+ private:
+  struct Session : std::enable_shared_from_this<Session> {
+    Session(ControlMachine& m, tcp::socket s) : machine(m), socket(std::move(s)), timer(m.io_) {}
+
+    void read() {
+      request = {};
+      boost::beast::http::async_read(socket, buffer, request,
+                                     [self = shared_from_this()](error_code error, std::size_t) {
+                                       if (error) return self->close();
+                                       self->onCall();
+                                     });
+    }
+    void onCall() {
+      ++machine.polls_;
+      poll =
+          configuration::parsePollTarget(std::string_view(request.target().data(), request.target().size()));
+      if (!poll) return reply({400, "no such call", 0});
+      machine.log.note(*poll);
+      if (machine.fault == ControlFault::silent) return;
+      machine.held_.insert(shared_from_this());
+      timer.expires_after(std::min<std::chrono::nanoseconds>(poll->wait, std::chrono::minutes(1)));
+      timer.async_wait([self = shared_from_this()](error_code stopped) {
+        if (!stopped && self->letGo()) self->reply(self->machine.log.noNews());
+      });
+      look();
+    }
+    void look() {
+      if (machine.fault == ControlFault::silent) return;
+      if (auto answer = machine.log.answer(*poll, machine.now()); answer && letGo()) reply(*answer);
+    }
+    // True: it was held.
+    bool letGo() { return machine.held_.erase(shared_from_this()) > 0; }
+    void reply(const ControlReply& answer) {
+      timer.cancel();
+      if (machine.fault == ControlFault::silent) return;
+      out = "HTTP/1.1 " + std::to_string(answer.status) + " X\r\n";
+      if (answer.retryAfter > 0) out += "Retry-After: " + std::to_string(answer.retryAfter) + "\r\n";
+      const std::string body = machine.fault == ControlFault::garbled ? "{\"epoch\":[]}" : answer.body;
+      out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+      const bool half = machine.fault == ControlFault::half || machine.fault == ControlFault::cut;
+      if (half) out.resize(out.size() - body.size() / 2 - 1);
+      boost::asio::async_write(socket, boost::asio::buffer(out),
+                               [self = shared_from_this(), half](error_code error, std::size_t bytes) {
+                                 self->machine.bytes_ += bytes;
+                                 if (error || (half && self->machine.fault == ControlFault::cut))
+                                   return self->close();
+                                 if (!half) self->read();
+                               });
+    }
+    void close() {
+      letGo();
+      timer.cancel();
+      error_code ignored;
+      socket.close(ignored);
+      machine.sessions_.erase(shared_from_this());
+    }
+
+    ControlMachine& machine;
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::request<boost::beast::http::empty_body> request;
+    std::optional<configuration::Poll> poll;
+    std::string out;
+  };
+
+  void accept() {
+    acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+      if (error) return;
+      const auto session = std::make_shared<Session>(*this, std::move(socket));
+      sessions_.insert(session);
+      session->read();
+      accept();
+    });
+  }
+  static double now() {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  }
+
+  boost::asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  tcp::endpoint at_;
+  std::set<std::shared_ptr<Session>> sessions_, held_;
+  std::uint64_t polls_ = 0, bytes_ = 0;
+};
+
+}  // namespace finchstile::standin
