--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -1,7 +1,7 @@
 // Cost against size, one variable at a time, of the code that a gateway runs: the decision module, the reader
 // of the configuration, the lists of discovery. Processor time and bytes, no wall time. docs/CAPACITY.md is
 // worked out from these figures.
-//   build-bench/bench_capacity [--out FILE.tsv] [--samples N] [--only hosts|tenants|classes]
+//   build-bench/bench_capacity [--out FILE.tsv] [--samples N] [--only hosts|tenants|classes|configuration]
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
@@ -12,8 +12,11 @@
 #include <string>
 #include <vector>
 
+#include "configuration/store.hpp"
+#include "control_log.hpp"
 #include "measure.hpp"
 #include "net/config.hpp"
+#include "net/tenants.hpp"
 #include "ridgeshift/ridgeshift.hpp"
 #include "standin_config.hpp"
 
@@ -135,6 +138,8 @@
       for (const std::size_t n : {46, 640, 6400, 12800}) hosts(n);
     if (wanted("tenants"))
       for (const std::size_t n : {100, 4000, 27000}) tenants(n);
+    if (wanted("configuration"))
+      for (const std::size_t n : {100, 4000, 27000, 54000}) configuration(n);
     if (wanted("classes"))
       for (const std::size_t n : {8, 140, 1000, 4000}) classes(n);
   }
@@ -227,6 +232,61 @@
     addMemory("tenants", n, [&] { return Driven(kUsualHosts, kUsualClasses, n); });
   }
 
+  // The configuration that control machines distribute: a whole, and one change, as the worker beside the
+  // loop reads them, and what the loop takes over.
+  void configuration(std::size_t n) {
+    using namespace finchstile::configuration;
+    standin::ControlLog log({1, 1'000'000, 0});
+    std::vector<Change> all;
+    for (std::size_t i = 0; i < n; ++i)
+      all.push_back({std::string(kTenantPrefix) + tenantName(i), TenantDocument{tenantName(i), 50}});
+    log.publish(all);
+    const std::string whole = log.answer({}, 0)->body;
+    add("configuration", n, "bytes of the whole", "kB",
+        [&] { return static_cast<double>(whole.size()) * 1e-3; });
+    const Settings start = settingsOf(kUsualClasses, kUsualTenants);
+    add("configuration", n, "whole, read and checked", "ms", [&] {
+      Store store(start);
+      return 1e3 * processorSecondsOf([&] { store.apply(parseUpdate(whole)); });
+    });
+    add("configuration", n, "memory of the store", "MB", [&] {
+      const std::int64_t before = allocatedBytes();
+      Store store(start);
+      store.apply(parseUpdate(whole));
+      return static_cast<double>(allocatedBytes() - before) * 1e-6;
+    });
+    Store store(start);
+    const TermsChange terms = store.apply(parseUpdate(whole)).terms;
+    add("configuration", n, "whole, taken by the loop", "ms", [&] {
+      Driven driven(kUsualHosts, kUsualClasses, kUsualTenants);
+      TenantTable table({});
+      return 1e3 * processorSecondsOf([&] { take(terms, driven.balancer(), table, driven.now()); });
+    });
+    Driven driven(kUsualHosts, kUsualClasses, kUsualTenants);
+    TenantTable table({});
+    take(terms, driven.balancer(), table, driven.now());
+    add("configuration", n, "one change, read and checked", "us", [&] {
+      log.publish(
+          {{std::string(kTenantPrefix) + tenantName(n / 2), TenantDocument{tenantName(n / 2), ++quota_}}});
+      const std::string change = log.answer({"", store.position(), {}}, 0)->body;
+      return 1e6 * processorSecondsOf([&] { last_ = store.apply(parseUpdate(change)).terms; });
+    });
+    add("configuration", n, "one change, taken by the loop", "us", [&] {
+      return 1e6 * processorSecondsOf([&] { take(last_, driven.balancer(), table, driven.now()); });
+    });
+  }
+  // As Gateway::takeTerms does it.
+  static void take(const finchstile::configuration::TermsChange& change, Balancer& balancer,
+                   TenantTable& table, ridgeshift::Time now) {
+    ridgeshift::Terms terms;
+    for (const auto& tenant : change.tenants) {
+      terms.tenants.push_back({tenant.index, *tenant.quotaPerSecond});
+      table.list(tenant.index, tenant.name);
+    }
+    balancer.onTerms(now, terms);
+    balancer.actions().clear();
+  }
+
   // A route is a class today: the first part of a path. Nothing else stands for one.
   void classes(std::size_t n) {
     add("classes", n, "start of the module", "us", [&] {
@@ -239,6 +299,8 @@
 
   const Options options_;
   Table table_;
+  double quota_ = 50;
+  finchstile::configuration::TermsChange last_;
 };
 
 Options readOptions(int argc, char** argv) {
@@ -253,7 +315,8 @@
       const int samples = std::atoi(value.c_str());
       if (samples < 1 || samples > 100) throw std::invalid_argument("--samples must be from 1 to 100");
       o.samples = static_cast<std::size_t>(samples);
-    } else if (name == "--only" && (value == "hosts" || value == "tenants" || value == "classes")) {
+    } else if (name == "--only" &&
+               (value == "hosts" || value == "tenants" || value == "classes" || value == "configuration")) {
       o.only = value;
     } else {
       throw std::invalid_argument("unknown option " + name + " " + value);
--- a/bench/measure.hpp
+++ b/bench/measure.hpp
@@ -65,7 +65,7 @@
     file_ << "variable\tsize\tcost\tunit\tmedian\tleast\tmost\tsamples\n";
   }
   void add(const Row& row) {
-    std::printf("%-9s %7.0f  %-34s %12.3f %-6s (%.3f to %.3f, %zu)\n", row.variable.c_str(), row.size,
+    std::printf("%-9s %7.6g  %-34s %12.3f %-6s (%.3f to %.3f, %zu)\n", row.variable.c_str(), row.size,
                 row.cost.c_str(), row.samples.median(), row.unit.c_str(), row.samples.least(),
                 row.samples.most(), row.samples.values.size());
     std::fflush(stdout);
--- a/src/configuration/client.cpp
+++ b/src/configuration/client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
 #include <utility>
 
 #include "configuration/file.hpp"
@@ -32,6 +33,7 @@
 };
 
 struct Client::Done {
+  std::uint64_t call = 0;  // which it answers
   Result result;
   Position position;
   std::size_t tenants = 0;
@@ -44,7 +46,7 @@
                const ridgeshift::Settings& start, std::function<void(const TermsChange&)> take,
                std::function<void(const std::string&)> say)
     : io_(io),
-      worker_(std::move(worker)),
+      worker_(boost::asio::make_strand(std::move(worker))),
       clock_(clock),
       settings_(settings),
       gateway_(gateway),
@@ -63,7 +65,7 @@
 
 void Client::start() {
   running_ = true;
-  recover();
+  if (!std::exchange(recovered_, true)) recover();
   // Danger: all gateways may start in one moment.
   schedule(clock_.now() + Duration(static_cast<std::int64_t>(
                               draw() * static_cast<double>(settings_.sources.failover.count()))));
@@ -110,8 +112,9 @@
   askedAt_ = clock_.now();
   sources_.asked(source_);
   ++figures_.polls;
-  watch_.call(settings_.endpoints[source_], pollTarget({gateway_, position_, settings_.wait}),
-              settings_.wait + settings_.silence);
+  ++call_;
+  const Watch::Patience patience{settings_.wait + settings_.silence, settings_.silence, settings_.whole};
+  watch_.call(settings_.endpoints[source_], pollTarget({gateway_, position_, settings_.wait}), patience);
 }
 
 void Client::onWatchLost() { sourceFailed(); }
@@ -129,20 +132,22 @@
     return schedule(clock_.now());
   }
   if (answer.status != kOk) return sourceFailed();
-  boost::asio::post(worker_, [&io = io_, alive = alive_, shared = shared_, body = std::move(answer.body)] {
-    auto made = std::make_shared<Done>();
-    try {
-      made->result = shared->store.apply(parseUpdate(body));
-      if (made->result.verdict == Verdict::taken) made->notKept = shared->keep();
-    } catch (const std::exception& bad) {
-      made->unreadable = bad.what();
-    }
-    made->position = shared->store.position();
-    made->tenants = shared->store.tenants();
-    boost::asio::post(io, [alive, made] {
-      if (*alive) (*alive)->done(*made);
-    });
-  });
+  boost::asio::post(
+      worker_, [&io = io_, alive = alive_, shared = shared_, call = call_, body = std::move(answer.body)] {
+        auto made = std::make_shared<Done>();
+        made->call = call;
+        try {
+          made->result = shared->store.apply(parseUpdate(body));
+          if (made->result.verdict == Verdict::taken) made->notKept = shared->keep();
+        } catch (const std::exception& bad) {
+          made->unreadable = bad.what();
+        }
+        made->position = shared->store.position();
+        made->tenants = shared->store.tenants();
+        boost::asio::post(io, [alive, made] {
+          if (*alive) (*alive)->done(*made);
+        });
+      });
 }
 
 // Between two requests: all of a change is taken over before this returns.
@@ -151,7 +156,8 @@
   figures_.tenants = made.tenants;
   if (made.unreadable.empty() && made.result.verdict == Verdict::taken) take_(made.result.terms);
   note(made);
-  if (!running_) return;
+  // Danger: a client that was stopped and started meanwhile has asked anew; two polls would be out at once.
+  if (!running_ || made.call != call_) return;
   const bool told = !made.result.problems.empty();  // the next poll says so: this version is not sent again
   const Verdict verdict = made.result.verdict;
   const bool good =
--- a/src/configuration/client.hpp
+++ b/src/configuration/client.hpp
@@ -34,9 +34,9 @@
     std::size_t tenants = 0;
   };
 
-  // `worker`: where updates are read and checked, one at a time; must not be the loop's thread for long sets
-  // to cost it nothing. `take` is called on the loop and takes all of a change over before it returns. `say`
-  // logs a line. `start` is the configuration that holds before any version.
+  // `worker`: where updates are read and checked; not the loop's thread, or long ones hold it up. `take` is
+  // called on the loop and takes all of a change over before it returns. `say` logs a line. `start` is the
+  // configuration that holds before any version.
   Client(boost::asio::io_context& io, boost::asio::any_io_executor worker, const Clock& clock,
          const ConfigurationSettings& settings, const std::string& gateway, std::uint64_t seed,
          const ridgeshift::Settings& start, std::function<void(const TermsChange&)> take,
@@ -70,7 +70,7 @@
   double draw();
 
   boost::asio::io_context& io_;
-  boost::asio::any_io_executor worker_;
+  boost::asio::any_io_executor worker_;  // one job at a time
   const Clock& clock_;
   const ConfigurationSettings settings_;
   const std::string gateway_;
@@ -86,7 +86,8 @@
   boost::asio::steady_timer timer_;
   std::size_t source_ = 0;  // that is asked just now
   Time askedAt_{};
-  bool running_ = false;
+  std::uint64_t call_ = 0;  // number of the last one
+  bool running_ = false, recovered_ = false;
   Figures figures_;
 };
 
--- a/src/configuration/settings.cpp
+++ b/src/configuration/settings.cpp
@@ -31,6 +31,7 @@
     readSources(r, out);
     r.duration("wait", out.wait, milliseconds(100), minutes(1));
     r.duration("silence", out.silence, milliseconds(50), minutes(1));
+    r.duration("whole", out.whole, milliseconds(100), minutes(10));
     r.duration("pace", out.pace, milliseconds(0), minutes(1));
     r.duration("failover", out.sources.failover, milliseconds(0), minutes(1));
     r.duration("retry_least", out.sources.retryLeast, milliseconds(10), minutes(10));
--- a/src/configuration/settings.hpp
+++ b/src/configuration/settings.hpp
@@ -16,6 +16,7 @@
   std::vector<boost::asio::ip::tcp::endpoint> endpoints;
   Duration wait = std::chrono::seconds(1);            // how long a machine may hold a call that has no news,
   Duration silence = std::chrono::milliseconds(500);  // and how much longer it may be silent
+  Duration whole = std::chrono::minutes(1);           // how long an answer that keeps coming may take in all
   Duration pace =
       std::chrono::milliseconds(250);  // between the beginnings of two calls: changes are coalesced
   SourceSettings sources;
--- a/src/configuration/store.cpp
+++ b/src/configuration/store.cpp
@@ -44,17 +44,17 @@
   std::vector<Problem> problems = update.problems;
   check(update, problems);
   if (!problems.empty()) return turnDown(update, Verdict::refused, std::move(problems));
+  const std::uint64_t hash = hashAfter(update);
   // Danger: changes to another set than ours would make a third one, that nobody has published.
-  if (!update.whole && (position_.version == Version{} || hashAfter(update) != update.hash)) {
+  if (!update.whole && (position_.version == Version{} || hash != update.hash)) {
     position_.wantsWhole = true;
     result.verdict = Verdict::gap;
     return result;
   }
-  if (update.whole && hashAfter(update) != update.hash)
-    return turnDown(
-        update, Verdict::refused,
-        {{"hash", "",
-          "is " + hashText(update.hash) + ", and the entries have " + hashText(hashAfter(update))}});
+  if (hash != update.hash) {
+    const std::string what = "is " + hashText(update.hash) + ", and the entries have " + hashText(hash);
+    return turnDown(update, Verdict::refused, {{"hash", "", what}});
+  }
   // From here on nothing can fail.
   result.verdict = Verdict::taken;
   result.terms.version = update.version;
--- a/src/configuration/update.cpp
+++ b/src/configuration/update.cpp
@@ -1,7 +1,9 @@
 #include "configuration/update.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <initializer_list>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <unordered_set>
@@ -11,7 +13,9 @@
 
 using nlohmann::json;
 
-constexpr double kAimMostMs = 24.0 * 3600 * 1000;
+constexpr double kNanosecondsPerMs = 1e6;
+constexpr double kAimLeastMs = 0.001, kAimMostMs = 24.0 * 3600 * 1000;
+constexpr std::size_t kValueTold = 40;  // bytes of a value that is wrong
 constexpr double kNumberMost = 1e12;
 
 std::uint64_t readHash(const std::string& text) {
@@ -22,11 +26,13 @@
   return hash;
 }
 
-// Reads one entry and collects what is wrong with it.
+std::string placeOf(std::size_t number) { return "entry " + std::to_string(number); }
+
+// Reads the fields of one entry and collects what is wrong with them. The references must outlive it.
 class EntryReader {
  public:
-  EntryReader(const json& entry, std::string key, std::vector<Problem>& problems)
-      : entry_(entry), key_(std::move(key)), problems_(problems) {}
+  EntryReader(const json& entry, const std::string& key, std::vector<Problem>& problems)
+      : entry_(entry), key_(key), problems_(problems) {}
 
   bool good() const { return good_; }
   void wrong(const std::string& field, const std::string& what) {
@@ -34,67 +40,83 @@
     good_ = false;
   }
   double number(const char* field, double least, double most) {
-    known_.insert(field);
+    ++fields_;
     const auto at = entry_.find(field);
     if (at == entry_.end()) return wrong(field, "is missing"), least;
     const double value = at->is_number() ? at->get<double>() : NAN;
     if (std::isfinite(value) && value >= least && value <= most) return value;
     char bounds[80];
     std::snprintf(bounds, sizeof bounds, "must be a number from %g to %g, and is ", least, most);
-    wrong(field, bounds + at->dump().substr(0, 40));
+    wrong(field, bounds + at->dump().substr(0, kValueTold));
     return least;
   }
   // Danger: a field that is passed over in silence is a term that somebody believes to be in force.
-  void refuseUnknown() {
+  void refuseOthers(std::initializer_list<std::string_view> known) {
+    if (good_ && entry_.size() == fields_ + 1) return;  // those that were read, and the key
     for (const auto& [field, value] : entry_.items())
-      if (known_.count(field) == 0) wrong(field, "is no field of such an entry");
+      if (field != "key" && std::find(known.begin(), known.end(), field) == known.end())
+        wrong(field, "is no field of such an entry");
   }
 
  private:
   const json& entry_;
-  const std::string key_;
+  const std::string& key_;
   std::vector<Problem>& problems_;
-  std::unordered_set<std::string> known_{"key"};
+  std::size_t fields_ = 0;  // asked for
   bool good_ = true;
 };
 
+std::optional<Document> readTenant(EntryReader& reader, const std::string& name) {
+  const TenantDocument tenant{name, reader.number("quota_per_second", 0, kNumberMost)};
+  reader.refuseOthers({"quota_per_second"});
+  return reader.good() ? std::optional<Document>(tenant) : std::nullopt;
+}
+
+std::optional<Document> readClass(EntryReader& reader, const std::string& name) {
+  ClassDocument cls{name, reader.number("worth", 0, kNumberMost), {}, 0};
+  const double aimMs = reader.number("aim_ms", kAimLeastMs, kAimMostMs);
+  cls.aim = ridgeshift::Duration(std::llround(aimMs * kNanosecondsPerMs));
+  cls.lateShare = reader.number("late_share", 0, 1);
+  reader.refuseOthers({"worth", "aim_ms", "late_share"});
+  return reader.good() ? std::optional<Document>(cls) : std::nullopt;
+}
+
 std::optional<Document> readDocument(const json& entry, const std::string& key,
                                      std::vector<Problem>& problems) {
   EntryReader reader(entry, key, problems);
   const std::string name = key.substr(key.find('/') + 1);
   if (name.empty() || name.size() > kNameLongest)
     reader.wrong("key", "must have a name of 1 to " + std::to_string(kNameLongest) + " bytes");
-  Document document;
-  if (key.starts_with(kTenantPrefix)) {
-    document = TenantDocument{name, reader.number("quota_per_second", 0, kNumberMost)};
-  } else {
-    ClassDocument cls{name, reader.number("worth", 0, kNumberMost), {}, 0};
-    const double aimMs = reader.number("aim_ms", 0.001, kAimMostMs);
-    cls.aim = ridgeshift::Duration(std::llround(aimMs * 1e6));
-    cls.lateShare = reader.number("late_share", 0, 1);
-    document = cls;
-  }
-  reader.refuseUnknown();
-  return reader.good() ? std::optional(document) : std::nullopt;
+  return key.starts_with(kTenantPrefix) ? readTenant(reader, name) : readClass(reader, name);
 }
 
-void readEntry(const json& entry, std::size_t number, Update& update, std::unordered_set<std::string>& seen) {
+// The key of an entry; null if it has none that may be, which is noted.
+const std::string* readKey(const json& entry, std::size_t number, std::vector<Problem>& problems) {
   const auto key = entry.is_object() ? entry.find("key") : entry.end();
-  const std::string place = "entry " + std::to_string(number);
-  if (!entry.is_object() || key == entry.end() || !key->is_string())
-    return update.problems.push_back({place, "key", "must be a text"});
-  const std::string& name = key->get_ref<const std::string&>();
-  if (!name.starts_with(kTenantPrefix) && !name.starts_with(kClassPrefix))
-    return update.problems.push_back(
-        {place, "key", "must be tenant/NAME or class/NAME, and is '" + name.substr(0, 40) + "'"});
-  if (!seen.insert(name).second) return update.problems.push_back({name, "", "stands twice"});
+  if (!entry.is_object() || key == entry.end() || !key->is_string()) {
+    problems.push_back({placeOf(number), "key", "must be a text"});
+    return nullptr;
+  }
+  const auto* name = key->get_ptr<const std::string*>();
+  if (name->starts_with(kTenantPrefix) || name->starts_with(kClassPrefix)) return name;
+  const std::string told = name->substr(0, kValueTold);
+  problems.push_back({placeOf(number), "key", "must be tenant/NAME or class/NAME, and is '" + told + "'"});
+  return nullptr;
+}
+
+// `seen`: the keys of the entries before, as they stand in the document.
+void readEntry(const json& entry, std::size_t number, Update& update,
+               std::unordered_set<std::string_view>& seen) {
+  const std::string* key = readKey(entry, number, update.problems);
+  if (!key) return;
+  if (!seen.insert(*key).second) return update.problems.push_back({*key, "", "stands twice"});
   if (const auto removed = entry.find("removed"); removed != entry.end()) {
     if (removed->is_boolean() && removed->get<bool>() && entry.size() == 2 && !update.whole)
-      return update.changes.push_back({name, std::nullopt});
-    return update.problems.push_back({name, "removed", "must be true and alone, in changes"});
+      return update.changes.push_back({*key, std::nullopt});
+    return update.problems.push_back({*key, "removed", "must be true and alone, in changes"});
   }
-  if (auto document = readDocument(entry, name, update.problems))
-    update.changes.push_back({name, std::move(document)});
+  if (auto document = readDocument(entry, *key, update.problems))
+    update.changes.push_back({*key, std::move(document)});
 }
 
 }  // namespace
@@ -117,7 +139,9 @@
   update.hash = readHash(all.at("hash").get<std::string>());
   const json& entries = all.at("entries");
   if (!entries.is_array()) throw std::runtime_error("entries is no list");
-  std::unordered_set<std::string> seen;
+  std::unordered_set<std::string_view> seen;
+  seen.reserve(entries.size());
+  update.changes.reserve(entries.size());
   std::size_t number = 0;
   for (const json& entry : entries) readEntry(entry, number++, update, seen);
   return update;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -50,7 +50,7 @@
               std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
     most += wait;
   }
-  watch_.call(at_, target, most);
+  watch_.call(at_, target, {most, {}, {}});
 }
 
 void Discovery::onWatchAnswer(WatchAnswer&& answer) {
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -1,5 +1,6 @@
 #include "net/watch.hpp"
 
+#include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -43,6 +44,7 @@
 Watch::~Watch() { stop(); }
 
 void Watch::stop() {
+  if (waiting_) *waiting_ = false;
   timer_.cancel();
   if (const auto connection = std::exchange(connection_, nullptr)) {
     connection->owner = nullptr;
@@ -51,19 +53,29 @@
   }
 }
 
-void Watch::call(const tcp::endpoint& at, const std::string& target, Duration most) {
+// Danger: whoever was cut off says nothing, ever. And a timer that has expired is told of even if it is set
+// anew or cancelled before the loop comes to it: taken for the next call's, it would end that one.
+void Watch::waitUntil(std::chrono::steady_clock::time_point deadline) {
+  if (waiting_) *waiting_ = false;
+  waiting_ = std::make_shared<bool>(true);
+  timer_.expires_at(deadline);
+  timer_.async_wait([this, waiting = waiting_](error_code stopped) {
+    if (!stopped && *waiting) lost();
+  });
+}
+
+void Watch::call(const tcp::endpoint& at, const std::string& target, const Patience& patience) {
   if (connection_ && connection_->to != at) stop();
   if (!connection_) connection_ = std::make_shared<Connection>(io_, at, *this);
   const auto connection = connection_;
-  // Danger: whoever was cut off says nothing, ever.
-  timer_.expires_after(most);
-  timer_.async_wait([connection](error_code stopped) {
-    if (!stopped && connection->owner) connection->owner->lost();
-  });
+  patience_ = patience;
+  end_ = {};
+  waitUntil(std::chrono::steady_clock::now() + patience.begin);
   connection->request = {http::verb::get, target, 11};
   connection->request.set(http::field::host, at.address().to_string() + ":" + std::to_string(at.port()));
   connection->parser.emplace();
   connection->parser->body_limit(bodyMost_);
+  connection->parser->eager(true);  // the body is taken in with the head
   if (connection->connected) return write(connection);
   connection->socket.async_connect(at, [connection](error_code error) {
     Watch* const owner = connection->owner;
@@ -86,17 +98,29 @@
 }
 
 void Watch::read(const std::shared_ptr<Connection>& connection) {
-  http::async_read(connection->socket, connection->buffer, *connection->parser,
-                   [connection](error_code error, std::size_t bytes) {
-                     Watch* const owner = connection->owner;
-                     if (!owner) return;
-                     owner->bytesReceived_ += bytes;
-                     if (error) return owner->lost();
-                     owner->answered(connection);
-                   });
+  http::async_read_some(connection->socket, connection->buffer, *connection->parser,
+                        [connection](error_code error, std::size_t bytes) {
+                          Watch* const owner = connection->owner;
+                          if (!owner) return;
+                          owner->bytesReceived_ += bytes;
+                          if (error) return owner->lost();
+                          if (connection->parser->is_done()) return owner->answered(connection);
+                          owner->moved();
+                          owner->read(connection);
+                        });
+}
+
+// More of an answer has come.
+void Watch::moved() {
+  if (patience_.pause == Duration{}) return;
+  const auto now = std::chrono::steady_clock::now();
+  // Danger: one that dribbles would hold the watch for good.
+  if (end_ == std::chrono::steady_clock::time_point{}) end_ = now + patience_.all;
+  waitUntil(std::min(now + patience_.pause, end_));
 }
 
 void Watch::answered(const std::shared_ptr<Connection>& connection) {
+  *waiting_ = false;
   timer_.cancel();
   const bool kept = connection->parser->keep_alive();
   auto message = connection->parser->release();
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -32,8 +32,14 @@
   Watch(boost::asio::io_context& io, std::size_t bodyMost, WatchEvents& events);
   ~Watch();
 
-  // Sends a GET for `target` and waits for its answer for `most`. One call is out at a time.
-  void call(const boost::asio::ip::tcp::endpoint& at, const std::string& target, Duration most);
+  // How long an answer may take.
+  struct Patience {
+    Duration begin{};  // up to its first byte
+    Duration pause{};  // between its pieces; 0: all of it within `begin`
+    Duration all{};    // from its first byte to its last, where it may pause
+  };
+  // Sends a GET for `target` and waits for its answer. One call is out at a time.
+  void call(const boost::asio::ip::tcp::endpoint& at, const std::string& target, const Patience& patience);
   void stop();  // ends the connection; nothing more is told of the call that is out
 
   std::uint64_t bytesSent() const { return bytesSent_; }
@@ -44,6 +50,8 @@
   void write(const std::shared_ptr<Connection>& connection);
   void read(const std::shared_ptr<Connection>& connection);
   void answered(const std::shared_ptr<Connection>& connection);
+  void moved();
+  void waitUntil(std::chrono::steady_clock::time_point deadline);
   void lost();
 
   boost::asio::io_context& io_;
@@ -51,6 +59,9 @@
   WatchEvents& events_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<Connection> connection_;  // null: none
+  Patience patience_;
+  std::chrono::steady_clock::time_point end_{};  // of the answer that comes in pieces; 0: it has not begun
+  std::shared_ptr<bool> waiting_;  // for the call that is out; false behind it: for nothing any more
   std::uint64_t bytesSent_ = 0, bytesReceived_ = 0;
 };
 
--- a/tests/configuration/client_test.cpp
+++ b/tests/configuration/client_test.cpp
@@ -287,6 +287,62 @@
   EXPECT_TRUE(until([&] { return client->figures().inForce == machines[0]->log.version(); }));
 }
 
+// An answer that takes longer than the silence, and keeps coming: a whole for many gateways at once.
+TEST_F(ClientTest, AnAnswerThatKeepsComingIsWaitedForAndOneThatDribblesIsNot) {
+  for (const bool dribbles : {false, true}) {
+    SCOPED_TRACE(dribbles);
+    client.reset();
+    standin::ControlLog log;
+    std::vector<Change> all;
+    for (int i = 0; i < 200; ++i) all.push_back(tenant("t" + std::to_string(i), 1));
+    log.publish(all);
+    const std::string body = log.answer({"n0", {}, {}}, 0)->body;
+    const std::string text =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::tcp::socket peer(io);
+    acceptor.async_accept(peer, [](boost::system::error_code) {});
+    settings.addresses = {"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
+    settings.endpoints = {acceptor.local_endpoint()};
+    settings.whole = dribbles ? milliseconds(400) : milliseconds(5000);
+    start();
+    ASSERT_TRUE(until([&] { return peer.is_open(); }));
+    // In ten pieces, 100 ms apart: longer than `wait` and `silence` together.
+    std::size_t sent = 0;
+    while (sent < text.size() && client->figures().sourceFailures == 0) {
+      const std::size_t piece = std::min(text.size() / 10 + 1, text.size() - sent);
+      boost::system::error_code ignored;
+      sent += asio::write(peer, asio::buffer(text.data() + sent, piece), ignored);
+      play(milliseconds(100));
+    }
+    if (dribbles) EXPECT_EQ(client->figures().sourceFailures, 1u);
+    else EXPECT_TRUE(inForce(1));
+    client.reset();
+    play(milliseconds(20));
+  }
+}
+
+// Hard case: stopped and started again while its worker still reads: one poll is out, and nothing is lost.
+TEST_F(ClientTest, StoppedAndStartedWhileItsWorkerIsBusyItAsksOnceAtATime) {
+  machinesOf(1);
+  std::vector<Change> all;
+  for (int i = 0; i < 20000; ++i) all.push_back(tenant("t" + std::to_string(i), 1));
+  publish(all);
+  start();
+  for (int i = 0; i < 20; ++i) {
+    play(milliseconds(7));
+    client->stop();
+    client->start();
+  }
+  ASSERT_TRUE(inForce(1));
+  publish({tenant("t1", 2)});
+  ASSERT_TRUE(inForce(2));
+  EXPECT_EQ(taken.size(), 2u);
+  const std::uint64_t polls = machines[0]->polls();
+  play(milliseconds(950));
+  EXPECT_LE(machines[0]->polls() - polls, 4u);
+}
+
 TEST_F(ClientTest, AClientThatIsGoneIsNotCalledByItsWorker) {
   machinesOf(1);
   std::vector<Change> all;
--- /dev/null
+++ b/tools/hollow_gateways.cpp
@@ -0,0 +1,482 @@
+// Many gateways without traffic in one process, on the real control code (the gateway with its module, the
+// discovery client, the configuration's client), against stand-ins for discovery and the control machines on
+// loopback. Tells how long changes take from publish to in force, and what control costs a gateway in bytes,
+// processor time and memory.
+//
+//   build-bench/finchstile-hollow [--gateways N] [--hosts N] [--tenants N] [--machines N] [--changes N]
+//                                 [--scenario NAME] [--seed N] [--out FILE.tsv]
+//
+// Scenarios: idle, single, burst (27 changes a second), kill and silent (one control machine at each change),
+// restart (a tenth of the gateways at each change), apart (half of them for 70 changes), start (all at once),
+// hosts.
+#include <pthread.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <charconv>
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <map>
+#include <memory>
+#include <random>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "configuration/client.hpp"
+#include "control_machine.hpp"
+#include "held_discovery.hpp"
+#include "measure.hpp"
+#include "net/gateway.hpp"
+#include "standin_config.hpp"
+
+namespace finchstile::hollow {
+namespace {
+
+namespace asio = boost::asio;
+using bench::Samples;
+using configuration::Change;
+using configuration::TenantDocument;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using WallTime = std::chrono::steady_clock::time_point;
+
+constexpr double kMemoryShare = 0.5;               // of the machine's, at the most
+constexpr std::size_t kDescriptorsPerGateway = 5;  // its listener, and both ends of two connections
+constexpr std::size_t kDescriptorsBeside = 200;
+// What a gateway needs, by measurements of this program, rounded up.
+constexpr double kBytesPerGateway = 200e3, kBytesPerHost = 6000, kBytesPerTenant = 700;
+constexpr int kSingleRounds = 10;
+constexpr double kBurstPerSecond = 1600.0 / 60;
+constexpr std::size_t kApartChanges = 70;
+constexpr std::size_t kRestartedOneIn = 10;
+constexpr seconds kIdleFor(10);
+constexpr seconds kGiveUpAfter(180);
+constexpr std::size_t kWorkers = 4;
+constexpr std::size_t kKept = 10000;           // revisions of which a machine knows what they changed
+constexpr double kWholeBytesPerSecond = 25e6;  // of wholes that one control machine gives out
+const std::vector<std::string> kScenarios = {"idle",    "single", "burst", "kill", "silent",
+                                             "restart", "apart",  "start", "hosts"};
+
+struct Options {
+  std::size_t gateways = 520, hosts = 46, tenants = 27000, machines = 4, changes = 400;
+  std::uint64_t seed = 1;
+  std::string scenario, out;
+};
+
+std::size_t count(const std::string& name, const std::string& text, std::size_t least, std::size_t most) {
+  std::size_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || value < least || value > most)
+    throw std::invalid_argument(name + " must be a number from " + std::to_string(least) + " to " +
+                                std::to_string(most) + ", and is '" + text + "'");
+  return value;
+}
+
+Options readOptions(int argc, char** argv) {
+  Options o;
+  for (int i = 1; i < argc; i += 2) {
+    const std::string name = argv[i];
+    if (i + 1 >= argc) throw std::invalid_argument(name + " wants a value");
+    const std::string value = argv[i + 1];
+    if (name == "--gateways") o.gateways = count(name, value, 1, 100000);
+    else if (name == "--hosts") o.hosts = count(name, value, 1, 65535);
+    else if (name == "--tenants") o.tenants = count(name, value, 1, ridgeshift::kTenantsMost);
+    else if (name == "--machines") o.machines = count(name, value, 1, 64);
+    else if (name == "--changes") o.changes = count(name, value, 1, 100000);
+    else if (name == "--seed") o.seed = count(name, value, 0, SIZE_MAX);
+    else if (name == "--scenario") o.scenario = value;
+    else if (name == "--out") o.out = value;
+    else throw std::invalid_argument("unknown option " + name);
+  }
+  if (!o.scenario.empty() && std::find(kScenarios.begin(), kScenarios.end(), o.scenario) == kScenarios.end())
+    throw std::invalid_argument("there is no scenario '" + o.scenario + "'");
+  return o;
+}
+
+double memoryOfMachine() {
+  std::ifstream file("/proc/meminfo");
+  std::string name;
+  double kilobytes = 0;
+  file >> name >> kilobytes;
+  return kilobytes * 1024;
+}
+
+// Throws where the size does not fit this machine, and says what does. Nothing has been started then.
+void checkSize(const Options& o) {
+  const double each = kBytesPerGateway + kBytesPerHost * static_cast<double>(o.hosts) +
+                      kBytesPerTenant * static_cast<double>(o.tenants);
+  const auto byMemory = static_cast<std::size_t>(kMemoryShare * memoryOfMachine() / each);
+  rlimit files{};
+  getrlimit(RLIMIT_NOFILE, &files);
+  const std::size_t free = files.rlim_cur > kDescriptorsBeside ? files.rlim_cur - kDescriptorsBeside : 0;
+  const std::size_t byDescriptors = free / kDescriptorsPerGateway;
+  const std::size_t most = std::min(byMemory, byDescriptors);
+  if (o.gateways <= most) return;
+  throw std::invalid_argument(std::to_string(o.gateways) + " gateways do not fit: " + std::to_string(most) +
+                              " with " + std::to_string(o.hosts) + " hosts and " + std::to_string(o.tenants) +
+                              " tenants, by " +
+                              (byMemory < byDescriptors ? "half of the memory" : "descriptors"));
+}
+
+std::string tenantName(std::size_t i) { return "tenant-" + std::to_string(100000 + i); }
+Change tenant(std::size_t i, double quota) {
+  return {"tenant/" + tenantName(i), TenantDocument{tenantName(i), quota}};
+}
+
+json hostsJson(std::size_t n) {
+  json hosts = json::array();
+  for (std::size_t i = 0; i < n; ++i)
+    hosts.push_back(standin::hostJson("host-" + std::to_string(100000 + i), "127.0.0.1:1",
+                                      "zone-" + std::to_string(i % 5)));
+  return hosts;
+}
+
+// The control machines and discovery, on a thread of their own, so that their processor time is not the
+// gateways'.
+class ControlSide {
+ public:
+  explicit ControlSide(const Options& o) : discovery_(io_, hostsJson(o.hosts)) {
+    for (std::size_t i = 0; i < o.machines; ++i)
+      machines_.push_back(std::make_unique<standin::ControlMachine>(
+          io_, standin::ControlLog::Settings{1, kKept, kWholeBytesPerSecond}));
+    std::vector<Change> all;
+    for (std::size_t i = 0; i < o.tenants; ++i) all.push_back(tenant(i, 50));
+    for (auto& machine : machines_) machine->log.publish(all);
+    thread_ = std::thread([this] { io_.run(); });
+    pthread_getcpuclockid(thread_.native_handle(), &processorClock_);
+  }
+  ~ControlSide() {
+    io_.stop();
+    thread_.join();
+  }
+  // Runs on the machines' thread, and returns what it returns.
+  template <class Work>
+  auto on(Work work) {
+    std::promise<decltype(work())> done;
+    asio::post(io_, [&] { done.set_value(work()); });
+    return done.get_future().get();
+  }
+  // One revision at all machines at once: what replicates it between them is none of this program's.
+  configuration::Version publish(const std::vector<Change>& changes) {
+    return on([&] {
+      configuration::Version version;
+      for (auto& machine : machines_) version = machine->publish(changes);
+      return version;
+    });
+  }
+  standin::ControlMachine& machine(std::size_t i) { return *machines_[i % machines_.size()]; }
+  std::size_t machines() const { return machines_.size(); }
+  standin::HeldDiscovery& discovery() { return discovery_; }
+  double processorSeconds() const {
+    timespec t{};
+    clock_gettime(processorClock_, &t);
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) * 1e-9;
+  }
+
+ private:
+  asio::io_context io_{1};
+  standin::HeldDiscovery discovery_;
+  std::vector<std::unique_ptr<standin::ControlMachine>> machines_;
+  std::thread thread_;
+  clockid_t processorClock_{};
+};
+
+// One gateway without traffic.
+struct HollowGateway {
+  std::unique_ptr<Gateway> gateway;
+  std::unique_ptr<configuration::Client> client;
+  std::uint64_t revision = 0;                      // in force
+  std::map<std::uint64_t, WallTime> inForceSince;  // by revision
+};
+
+class Hollow {
+ public:
+  explicit Hollow(const Options& options)
+      : options_(options), control_(options), engine_(options.seed), table_(options.out) {
+    standin::Grade read{"read", "retryable", "all", 1};
+    json settings = standin::settingsJson(json::array({standin::gradeJson(read)}), true, "zone-0");
+    settings["groupSize"] = options.gateways;
+    config_ = {{"name", "n0"},
+               {"listen", "127.0.0.1:0"},
+               {"discovery", control_.discovery().address()},
+               {"seed", "1"},
+               {"limits", {{"sockets", 256}}},
+               {"known", standin::listJson(1, true, hostsJson(options.hosts))},
+               {"settings", settings}};
+    for (std::size_t i = 0; i < control_.machines(); ++i) {
+      settings_.addresses.push_back(control_.machine(i).address());
+      settings_.endpoints.push_back(control_.machine(i).endpoint());
+    }
+  }
+  ~Hollow() {
+    for (HollowGateway& g : gateways_) g.client.reset();
+    workers_.join();
+    io_.poll();
+  }
+
+  void run() {
+    start();
+    for (const std::string& name : kScenarios) {
+      if (name == "start" || (!options_.scenario.empty() && options_.scenario != name)) continue;
+      std::printf("%s\n", name.c_str());
+      play(name);
+    }
+  }
+
+ private:
+  void play(const std::string& name) {
+    if (name == "idle") idle();
+    else if (name == "single")
+      rounds(
+          name, [](std::size_t) {}, [](std::size_t) {});
+    else if (name == "burst") burst();
+    else if (name == "kill")
+      rounds(
+          name, [this](std::size_t i) { control_.on([&] { return control_.machine(i).kill(), 0; }); },
+          [this](std::size_t i) { control_.on([&] { return control_.machine(i).restart(), 0; }); });
+    else if (name == "silent")
+      rounds(
+          name, [this](std::size_t i) { setFault(i, standin::ControlFault::silent); },
+          [this](std::size_t i) { setFault(i, standin::ControlFault::none); });
+    else if (name == "restart")
+      rounds(
+          name,
+          [this](std::size_t i) {
+            for (std::size_t g = i % kRestartedOneIn; g < gateways_.size(); g += kRestartedOneIn) restart(g);
+          },
+          [](std::size_t) {});
+    else if (name == "apart") apart();
+    else hosts();
+  }
+
+  void setFault(std::size_t machine, standin::ControlFault fault) {
+    control_.on([&] { return control_.machine(machine).fault = fault, 0; });
+  }
+
+  // The loop, until it is reached. Throws if that takes too long: whatever it shows, it is no figure.
+  void until(const std::function<bool()>& reached, const char* what) {
+    const WallTime end = std::chrono::steady_clock::now() + kGiveUpAfter;
+    while (!reached()) {
+      if (std::chrono::steady_clock::now() > end)
+        throw std::runtime_error(std::string(what) + " was not reached within " +
+                                 std::to_string(kGiveUpAfter.count()) + " s");
+      io_.restart();
+      io_.run_for(milliseconds(1));
+    }
+  }
+  void playFor(std::chrono::nanoseconds time) {
+    const WallTime end = std::chrono::steady_clock::now() + time;
+    until([&] { return std::chrono::steady_clock::now() >= end; }, "the end of a pause");
+  }
+
+  void make(std::size_t number) {
+    HollowGateway& g = gateways_[number];
+    json config = config_;
+    config["settings"]["myNumber"] = number;
+    Config read = readConfig(config.dump(), clock_);
+    const ridgeshift::Settings settings = read.settings;
+    if (!g.gateway) {
+      g.gateway = std::make_unique<Gateway>(io_, clock_, std::move(read));
+      g.gateway->start();
+    }
+    g.client = std::make_unique<configuration::Client>(
+        io_, workers_.get_executor(), clock_, settings_, "gateway-" + std::to_string(number),
+        options_.seed + number, settings,
+        [&g](const configuration::TermsChange& change) {
+          g.gateway->takeTerms(change);
+          const WallTime now = std::chrono::steady_clock::now();
+          for (std::uint64_t r = g.revision + 1; r <= change.version.revision; ++r) g.inForceSince[r] = now;
+          g.revision = change.version.revision;
+        },
+        [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); });
+    g.client->start();
+  }
+  // Its configuration begins anew, with nothing kept on disk.
+  void restart(std::size_t number) {
+    HollowGateway& g = gateways_[number];
+    bytesOfRetired_ += g.client->bytesSent() + g.client->bytesReceived();
+    g.client.reset();
+    g.revision = 0;
+    make(number);
+  }
+  bool allHave(std::uint64_t revision) const {
+    return std::all_of(gateways_.begin(), gateways_.end(),
+                       [&](const HollowGateway& g) { return g.revision >= revision; });
+  }
+
+  void start() {
+    const std::int64_t bytesBefore = bench::allocatedBytes();
+    const double cpuBefore = gatewaySeconds();
+    gateways_.resize(options_.gateways);
+    const WallTime begun = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < gateways_.size(); ++i) make(i);
+    until([&] { return allHave(1); }, "the start");
+    std::printf("start\n");
+    Samples took;
+    for (const HollowGateway& g : gateways_) took.values.push_back(secondsSince(begun, g.inForceSince.at(1)));
+    add("start", "s until in force", "s", took);
+    playFor(seconds(1));  // buffers of the wholes go
+    addOne("start", "memory a gateway", "MB",
+           static_cast<double>(bench::allocatedBytes() - bytesBefore) * 1e-6 / perGateway());
+    addOne("start", "processor time a gateway", "ms", 1e3 * (gatewaySeconds() - cpuBefore) / perGateway());
+  }
+
+  void idle() {
+    Meter meter(*this);
+    playFor(kIdleFor);
+    meter.add("idle");
+  }
+
+  // One change after another; `before` brings about what is to go on at the change, `after` ends it.
+  void rounds(const std::string& name, const std::function<void(std::size_t)>& before,
+              const std::function<void(std::size_t)>& after) {
+    Samples took;
+    Meter meter(*this);
+    for (std::size_t i = 0; i < kSingleRounds; ++i) {
+      playFor(milliseconds(500 + engine_() % 1000));
+      before(i);
+      const WallTime published = std::chrono::steady_clock::now();
+      const auto version = control_.publish({tenant(engine_() % options_.tenants, 1 + engine_() % 100)});
+      until([&] { return allHave(version.revision); }, "a change");
+      for (const HollowGateway& g : gateways_)
+        took.values.push_back(secondsSince(published, g.inForceSince.at(version.revision)));
+      after(i);
+    }
+    add(name, "s until in force", "s", took);
+    meter.add(name);
+  }
+
+  void burst() {
+    std::vector<std::pair<std::uint64_t, WallTime>> published;
+    Meter meter(*this);
+    for (std::size_t i = 0; i < options_.changes; ++i) {
+      const WallTime now = std::chrono::steady_clock::now();
+      const auto version = control_.publish({tenant(engine_() % options_.tenants, 1 + engine_() % 100)});
+      published.emplace_back(version.revision, now);
+      playFor(std::chrono::nanoseconds(static_cast<std::int64_t>(1e9 / kBurstPerSecond)));
+    }
+    meter.add("burst");
+    until([&] { return allHave(published.back().first); }, "the burst");
+    Samples took;
+    for (const auto& [revision, when] : published)
+      for (const HollowGateway& g : gateways_)
+        took.values.push_back(secondsSince(when, g.inForceSince.at(revision)));
+    add("burst", "s until in force", "s", took);
+  }
+
+  // Half of the gateways reach no machine while there are changes, and all come back in the same moment.
+  void apart() {
+    for (std::size_t g = 0; g < gateways_.size(); g += 2) gateways_[g].client->stop();
+    configuration::Version version;
+    for (std::size_t i = 0; i < kApartChanges; ++i)
+      version = control_.publish({tenant(engine_() % options_.tenants, 1 + engine_() % 100)});
+    playFor(seconds(3));
+    Meter meter(*this);
+    const WallTime back = std::chrono::steady_clock::now();
+    for (std::size_t g = 0; g < gateways_.size(); g += 2) gateways_[g].client->start();
+    until([&] { return allHave(version.revision); }, "what was missed");
+    Samples took;
+    for (std::size_t g = 0; g < gateways_.size(); g += 2)
+      took.values.push_back(secondsSince(back, gateways_[g].inForceSince.at(version.revision)));
+    add("apart", "s from back to in force", "s", took);
+    meter.add("apart");
+  }
+
+  // Changes of hosts, one after another: what discovery's watch costs a gateway.
+  void hosts() {
+    Meter meter(*this);
+    const std::uint64_t bytes = control_.on([&] { return control_.discovery().bytes(); });
+    for (std::size_t i = 0; i < kSingleRounds; ++i) {
+      control_.on([&] {
+        control_.discovery().change(i % options_.hosts, i % 2 == 0 ? "leaving" : "active");
+        return 0;
+      });
+      playFor(milliseconds(500));
+    }
+    meter.add("hosts");
+    const std::uint64_t after = control_.on([&] { return control_.discovery().bytes(); });
+    addOne("hosts", "bytes of discovery a gateway and change", "B",
+           static_cast<double>(after - bytes) / perGateway() / kSingleRounds);
+  }
+
+  // What a stretch of time costs.
+  class Meter {
+   public:
+    explicit Meter(Hollow& hollow)
+        : hollow_(hollow),
+          begun_(std::chrono::steady_clock::now()),
+          cpu_(hollow.gatewaySeconds()),
+          controlCpu_(hollow.control_.processorSeconds()),
+          bytes_(hollow.configurationBytes()) {}
+    void add(const std::string& name) {
+      const double took = secondsSince(begun_, std::chrono::steady_clock::now());
+      const double gateways = hollow_.perGateway();
+      hollow_.addOne(name, "configuration's bytes a gateway", "B/s",
+                     static_cast<double>(hollow_.configurationBytes() - bytes_) / gateways / took);
+      hollow_.addOne(name, "processor time a gateway", "% core",
+                     100 * (hollow_.gatewaySeconds() - cpu_) / gateways / took);
+      hollow_.addOne(name, "processor time of all machines", "% core",
+                     100 * (hollow_.control_.processorSeconds() - controlCpu_) / took);
+    }
+
+   private:
+    Hollow& hollow_;
+    const WallTime begun_;
+    const double cpu_, controlCpu_;
+    const std::uint64_t bytes_;
+  };
+
+  static double secondsSince(WallTime from, WallTime to) {
+    return std::max(std::chrono::duration<double>(to - from).count(), 0.0);
+  }
+  double perGateway() const { return static_cast<double>(options_.gateways); }
+  double gatewaySeconds() const { return bench::processorSeconds() - control_.processorSeconds(); }
+  std::uint64_t configurationBytes() const {
+    std::uint64_t all = bytesOfRetired_;
+    for (const HollowGateway& g : gateways_)
+      if (g.client) all += g.client->bytesSent() + g.client->bytesReceived();
+    return all;
+  }
+  void addOne(const std::string& scenario, const std::string& cost, const std::string& unit, double value) {
+    Samples one;
+    one.values.push_back(value);
+    table_.add({scenario, perGateway(), cost, unit, one});
+  }
+  void add(const std::string& scenario, const std::string& cost, const std::string& unit,
+           const Samples& all) {
+    table_.add({scenario, perGateway(), cost, unit, all});
+    addOne(scenario, cost + ", p99", unit, all.quantile(0.99));
+  }
+
+  const Options options_;
+  const Clock clock_;
+  ControlSide control_;
+  asio::io_context io_{1};
+  asio::thread_pool workers_{kWorkers};
+  std::mt19937_64 engine_;
+  bench::Table table_;
+  json config_;
+  configuration::ConfigurationSettings settings_;
+  std::vector<HollowGateway> gateways_;
+  std::uint64_t bytesOfRetired_ = 0;  // of clients that were replaced
+};
+
+}  // namespace
+}  // namespace finchstile::hollow
+
+int main(int argc, char** argv) try {
+  const auto options = finchstile::hollow::readOptions(argc, argv);
+  finchstile::hollow::checkSize(options);
+  finchstile::hollow::Hollow(options).run();
+  return 0;
+} catch (const std::exception& bad) {
+  std::fprintf(stderr, "finchstile-hollow: %s\n", bad.what());
+  return 2;
+}
