The operators' address is the admin API in the sources; lint clean; descriptors tested

Need: names of the earlier house style go as code is touched (the desk), and what tools/lint found in new files. No change of behaviour.

--- a/src/app/ops_desk.cpp
+++ b/src/app/admin_api.cpp
@@ -1,4 +1,4 @@
-#include "app/ops_desk.hpp"
+#include "app/admin_api.hpp"
 
 #include <cstdio>
 #include <cstdlib>
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-OpsDesk::OpsDesk(boost::asio::io_context& io, const Clock& clock, const Config& c, const std::string& file,
-                 Gateway& gateway)
+AdminApi::AdminApi(boost::asio::io_context& io, const Clock& clock, const Config& c, const std::string& file,
+                   Gateway& gateway)
     : clock_(clock),
       keep_(c.settings.coldTime),
       gateway_(gateway),
@@ -30,7 +30,7 @@
 }
 
 // True if another process has said something else than stands here.
-bool OpsDesk::refresh() {
+bool AdminApi::refresh() {
   if (file_.path().empty()) return false;
   const auto text = file_.readIfChanged();
   if (!text) return false;
@@ -40,7 +40,7 @@
   return false;
 }
 
-void OpsDesk::waitToLook() {
+void AdminApi::waitToLook() {
   timer_.expires_after(kLook);
   timer_.async_wait([this](const boost::system::error_code& stopped) {
     if (stopped) return;
@@ -50,7 +50,7 @@
   });
 }
 
-ops::Reply OpsDesk::onCall(const ops::Call& call) {
+ops::Reply AdminApi::onCall(const ops::Call& call) {
   switch (call.kind) {
     case ops::CallKind::ready:
       if (gateway_.ready()) return {200, "ready\n"};
@@ -76,13 +76,13 @@
   return {500, ""};
 }
 
-ops::Reply OpsDesk::takeOut(const std::string& host) {
+ops::Reply AdminApi::takeOut(const std::string& host) {
   if (!known(host)) return {404, "no such host in the list\n"};
   if (!out_.takeOut(host)) return {507, "too many hosts are out by hand\n"};
   return changed(host, "out by hand");
 }
 
-ops::Reply OpsDesk::putBack(const std::string& host) {
+ops::Reply AdminApi::putBack(const std::string& host) {
   if (!known(host)) return {404, "no such host in the list\n"};
   if (!out_.isOut(host)) return {200, "was not out\n"};
   out_.putBack(host, clock_.now());
@@ -90,13 +90,13 @@
 }
 
 // Danger: what another process was told is read once; whatever becomes of this call, it takes effect here.
-bool OpsDesk::known(const std::string& host) {
+bool AdminApi::known(const std::string& host) {
   if (refresh()) gateway_.refilter();
   return gateway_.lists(host) || out_.knows(host);
 }
 
 // Danger: a yes that the next process does not know of would be broken by it.
-ops::Reply OpsDesk::changed(const std::string& host, const char* how) {
+ops::Reply AdminApi::changed(const std::string& host, const char* how) {
   gateway_.refilter();
   std::fprintf(stderr, "ops: host %s is %s\n", host.c_str(), how);
   if (file_.path().empty() || file_.write(out_.encode())) return {200, "done\n"};
--- a/src/app/ops_desk.hpp
+++ b/src/app/admin_api.hpp
@@ -18,11 +18,11 @@
 
 namespace finchstile {
 
-class OpsDesk : ops::CallEvents, HostFilter {
+class AdminApi : ops::CallEvents, HostFilter {
  public:
   // `file`: where hosts out by hand are written down; empty: nowhere.
-  OpsDesk(boost::asio::io_context& io, const Clock& clock, const Config& config, const std::string& file,
-          Gateway& gateway);
+  AdminApi(boost::asio::io_context& io, const Clock& clock, const Config& config, const std::string& file,
+           Gateway& gateway);
 
   ops::ConfigFigures config;          // counted by whoever reads configurations
   std::function<std::string()> more;  // further figures, as lines of the exposition format
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -19,11 +19,11 @@
 #include <thread>
 #include <vector>
 
+#include "app/admin_api.hpp"
 #include "app/key_log.hpp"
 #include "app/key_owners.hpp"
 #include "app/members.hpp"
 #include "app/operator_file.hpp"
-#include "app/ops_desk.hpp"
 #include "app/peer_link.hpp"
 #include "app/succession.hpp"
 #include "app/trace_log.hpp"
@@ -104,8 +104,8 @@
       members_ =
           std::make_unique<Members>(io_, clock_, built_.file.membership, config_, gateway_, peers_.get());
     if (config_.ops) {
-      desk_ = std::make_unique<OpsDesk>(io_, clock_, config_, opsFile(config_.name), gateway_);
-      desk_->more = [this] {
+      adminApi_ = std::make_unique<AdminApi>(io_, clock_, config_, opsFile(config_.name), gateway_);
+      adminApi_->more = [this] {
         std::string more;
         if (crossing_) more += crossing_->account().exposition();
         if (streams_) more += streams_->exposition();
@@ -114,7 +114,8 @@
         return more;
       };
     }
-    if (members_ && desk_) desk_->hosts = [this](const std::string& host) { return members_->text(host); };
+    if (members_ && adminApi_)
+      adminApi_->hosts = [this](const std::string& host) { return members_->text(host); };
     if (members_) waitToReport();
     if (built_.file.trace.enabled) {
       trace_ = std::make_unique<TraceLog>(io_, clock_, built_.file.trace, config_.name);
@@ -172,9 +173,9 @@
   void reload() {
     try {
       gateway_.reload(loadConfig(options_.config, clock_));
-      if (desk_) ++desk_->config.loaded;
+      if (adminApi_) ++adminApi_->config.loaded;
     } catch (const std::exception& bad) {
-      if (desk_) ++desk_->config.invalid;
+      if (adminApi_) ++adminApi_->config.invalid;
       std::fprintf(stderr, "finchstile: not reloaded: %s\n", bad.what());
     }
     if (!options_.operatorFile.empty()) reloadOperator();
@@ -322,7 +323,7 @@
   std::random_device dice_;
   std::unique_ptr<websocket::WebSocketFront> webSocket_;
   std::unique_ptr<Members> members_;
-  std::unique_ptr<OpsDesk> desk_;
+  std::unique_ptr<AdminApi> adminApi_;
   std::unique_ptr<Succession> succession_;
   std::unique_ptr<configuration::Client> configuration_;
   std::unique_ptr<boost::asio::thread_pool> worker_;
--- a/src/app/succession.cpp
+++ b/src/app/succession.cpp
@@ -6,7 +6,7 @@
 #include <exception>
 #include <utility>
 
-#include "app/ops_desk.hpp"
+#include "app/admin_api.hpp"
 #include "handover/learned_text.hpp"
 
 namespace finchstile {
--- a/src/configuration/client.cpp
+++ b/src/configuration/client.cpp
@@ -41,12 +41,12 @@
   std::string notKept;     // why the version could not be written to disk; empty: it was, or need not be
 };
 
-Client::Client(boost::asio::io_context& io, boost::asio::any_io_executor worker, const Clock& clock,
+Client::Client(boost::asio::io_context& io, const boost::asio::any_io_executor& worker, const Clock& clock,
                const ConfigurationSettings& settings, const std::string& gateway, std::uint64_t seed,
                const ridgeshift::Settings& start, std::function<void(const TermsChange&)> take,
                std::function<void(const std::string&)> say)
     : io_(io),
-      worker_(boost::asio::make_strand(std::move(worker))),
+      worker_(boost::asio::make_strand(worker)),
       clock_(clock),
       settings_(settings),
       gateway_(gateway),
--- a/src/configuration/client.hpp
+++ b/src/configuration/client.hpp
@@ -22,7 +22,8 @@
 
 namespace finchstile::configuration {
 
-inline constexpr std::size_t kUpdateMost = 32 * 1024 * 1024;  // bytes: 131,072 tenants with long names
+inline constexpr std::size_t kUpdateMost =
+    std::size_t{32} * 1024 * 1024;  // bytes: 131,072 tenants with long names
 
 // That a client needs at the most: its connection, one that it has just left, and the file that is written.
 inline constexpr std::size_t kDescriptors = 3;
@@ -40,7 +41,7 @@
   // `worker`: where updates are read and checked; not the loop's thread, or long ones hold it up. `take` is
   // called on the loop and takes all of a change over before it returns. `say` logs a line. `start` is the
   // configuration that holds before any version.
-  Client(boost::asio::io_context& io, boost::asio::any_io_executor worker, const Clock& clock,
+  Client(boost::asio::io_context& io, const boost::asio::any_io_executor& worker, const Clock& clock,
          const ConfigurationSettings& settings, const std::string& gateway, std::uint64_t seed,
          const ridgeshift::Settings& start, std::function<void(const TermsChange&)> take,
          std::function<void(const std::string&)> say);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -8,7 +8,7 @@
 namespace finchstile {
 namespace {
 
-constexpr std::size_t kListMost = 4 * 1024 * 1024;
+constexpr std::size_t kListMost = std::size_t{4} * 1024 * 1024;
 constexpr unsigned kOk = 200;
 constexpr std::int64_t kNoIndex = -1;  // the whole list is asked for
 
--- a/tests/configuration/store_test.cpp
+++ b/tests/configuration/store_test.cpp
@@ -159,12 +159,18 @@
 }
 
 TEST(Store, EveryErrorOfAnUpdateIsNamedByKeyFieldAndWhatIsRight) {
-  const Update update = parseUpdate(raw(
-      {1, 1}, "0000000000000000", true,
-      R"({"key":"tenant/a","quota_per_second":-1},{"key":"tenant/b"},{"key":"tenant/c","quota_per_second":1,"qouta":2},
-             {"key":"route/x"},{"key":"tenant/","quota_per_second":1},{"key":"tenant/d","quota_per_second":1},
-             {"key":"tenant/d","quota_per_second":2},{"key":"class/read","worth":"x","aim_ms":0,"late_share":2},
-             {"key":"tenant/e","removed":true},{"quota_per_second":1},7)"));
+  const Update update = parseUpdate(raw({1, 1}, "0000000000000000", true,
+                                        R"({"key":"tenant/a","quota_per_second":-1},)"
+                                        R"({"key":"tenant/b"},)"
+                                        R"({"key":"tenant/c","quota_per_second":1,"qouta":2},)"
+                                        R"({"key":"route/x"},)"
+                                        R"({"key":"tenant/","quota_per_second":1},)"
+                                        R"({"key":"tenant/d","quota_per_second":1},)"
+                                        R"({"key":"tenant/d","quota_per_second":2},)"
+                                        R"({"key":"class/read","worth":"x","aim_ms":0,"late_share":2},)"
+                                        R"({"key":"tenant/e","removed":true},)"
+                                        R"({"quota_per_second":1},)"
+                                        R"(7)"));
   std::vector<std::string> lines;
   for (const Problem& problem : update.problems) lines.push_back(describe(problem));
   EXPECT_EQ(lines, (std::vector<std::string>{
--- a/tests/net/limits_test.cpp
+++ b/tests/net/limits_test.cpp
@@ -86,5 +86,20 @@
   EXPECT_LT(large.second, std::size_t{16} << 20);
 }
 
+// What runs beside the gateway has descriptors that neither clients nor hosts may take.
+TEST(Limits, ReservedDescriptorsComeOffTheShares) {
+  const Clock clock;
+  const auto sharesWith = [&](std::size_t reserved) {
+    Config config =
+        readConfig(configJson({asio::ip::make_address("127.0.0.1"), 1}, json::array()).dump(), clock);
+    config.reservedDescriptors = reserved;
+    asio::io_context io;
+    const Gateway::Shares shares = Gateway(io, clock, std::move(config)).shares();
+    return shares.clients + shares.upstream;
+  };
+  // 95 in a hundred of what is left are shared out.
+  EXPECT_EQ(sharesWith(0) - sharesWith(20), 19u);
+}
+
 }  // namespace
 }  // namespace finchstile::testing
