The kept version is written beside the loop, once for all changes of thirty seconds

Change: the file is written after the change is in force, at most each 30 s; what was missed since is asked for at the next start. The test of kills held the file to the last version told; it is held to a whole version that never goes back now, and a new one to one write for ten changes.

--- a/src/configuration/client.cpp
+++ b/src/configuration/client.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr unsigned kOk = 200, kUnavailable = 503;
+// The file is written this often at the most: the whole of it, for a change of one tenant too. What was
+// missed since is asked for at the next start.
+constexpr Duration kKeepEvery = std::chrono::seconds(30);
 
 }  // namespace
 
@@ -22,7 +25,6 @@
 
   // Tells what is wrong with the file, if something is; empty: nothing.
   std::string keep() const {
-    if (file.empty()) return {};
     try {
       writeWhole(file, store.text());
       return {};
@@ -38,7 +40,6 @@
   Position position;
   std::size_t tenants = 0;
   std::string unreadable;  // why the answer is no update; empty: it is one
-  std::string notKept;     // why the version could not be written to disk; empty: it was, or need not be
 };
 
 Client::Client(boost::asio::io_context& io, const boost::asio::any_io_executor& worker, const Clock& clock,
@@ -57,7 +58,9 @@
       shared_(std::make_shared<Shared>(start, settings.file)),
       alive_(std::make_shared<Client*>(this)),
       watch_(io, kUpdateMost, *this),
-      timer_(io) {
+      timer_(io),
+      keepTimer_(io),
+      keepNext_(clock.now()) {
   figures_.tenants = shared_->store.tenants();
 }
 
@@ -142,7 +145,6 @@
         made->call = call;
         try {
           made->result = shared->store.apply(parseUpdate(body));
-          if (made->result.verdict == Verdict::taken) made->notKept = shared->keep();
         } catch (const std::exception& bad) {
           made->unreadable = bad.what();
         }
@@ -158,7 +160,10 @@
 void Client::done(const Done& made) {
   position_ = made.position;
   figures_.tenants = made.tenants;
-  if (made.unreadable.empty() && made.result.verdict == Verdict::taken) take_(made.result.terms);
+  if (made.unreadable.empty() && made.result.verdict == Verdict::taken) {
+    take_(made.result.terms);
+    keepSoon();
+  }
   note(made);
   // Danger: a client that was stopped and started meanwhile has asked anew; two polls would be out at once.
   if (!running_ || made.call != call_) return;
@@ -172,8 +177,28 @@
   schedule(askedAt_ + settings_.pace);
 }
 
+void Client::keepSoon() {
+  if (settings_.file.empty() || std::exchange(keepPending_, true)) return;
+  keepTimer_.expires_at(clock_.steady(keepNext_));
+  keepTimer_.async_wait([alive = alive_](const boost::system::error_code& stopped) {
+    if (!stopped && *alive) (*alive)->keep();
+  });
+}
+
+// Beside the loop, like all that takes as long as the set is large.
+void Client::keep() {
+  keepPending_ = false;
+  keepNext_ = clock_.now() + kKeepEvery;
+  boost::asio::post(worker_, [&io = io_, alive = alive_, shared = shared_] {
+    const std::string wrong = shared->keep();
+    if (wrong.empty()) return;
+    boost::asio::post(io, [alive, wrong] {
+      if (*alive) (*alive)->say_("configuration: " + wrong);
+    });
+  });
+}
+
 void Client::note(const Done& made) {
-  if (!made.notKept.empty()) say_("configuration: " + made.notKept);
   if (!made.unreadable.empty())
     return say_("configuration: " + settings_.addresses[source_] + " answers what is " + made.unreadable);
   const std::string from = " from " + settings_.addresses[source_];
--- a/src/configuration/client.hpp
+++ b/src/configuration/client.hpp
@@ -70,6 +70,8 @@
   void onWatchLost() override;
   void done(const Done& done);
   void note(const Done& done);
+  void keepSoon();
+  void keep();
   void sourceFailed();
   double draw();
 
@@ -87,7 +89,9 @@
       alive_;  // null behind it: this client is gone, and answers of the worker are of no use
   Position position_;
   Watch watch_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer timer_, keepTimer_;
+  Time keepNext_;  // the file is not written before
+  bool keepPending_ = false;
   std::size_t source_ = 0;  // that is asked just now
   Time askedAt_{};
   std::uint64_t call_ = 0;  // number of the last one
--- a/tests/configuration/client_test.cpp
+++ b/tests/configuration/client_test.cpp
@@ -234,6 +234,7 @@
   publish({tenant("a", 1), classOf("read", 5, 300)});
   start();
   ASSERT_TRUE(inForce(1));
+  ASSERT_TRUE(until([&] { return std::filesystem::exists(settings.file); }));
   client.reset();
   machines[0]->kill();
   taken.clear();
@@ -247,6 +248,23 @@
   EXPECT_EQ(machines[0]->log.wholes(), 1u);  // the changes were enough
 }
 
+// Danger: the whole is written for a change of one tenant too; at each change of a burst it would cost more
+// than the gateway may spend on control.
+TEST_F(ClientTest, ManyChangesWriteTheFileOnce) {
+  machinesOf(1);
+  settings.file = (folder / "configuration.json").string();
+  settings.pace = milliseconds(0);
+  publish({tenant("a", 1)});
+  start();
+  ASSERT_TRUE(until([&] { return std::filesystem::exists(settings.file); }));
+  for (int i = 2; i < 12; ++i) {
+    publish({tenant("a", i)});
+    ASSERT_TRUE(inForce(static_cast<std::uint64_t>(i)));
+  }
+  play(milliseconds(50));
+  EXPECT_EQ(parseUpdate(*readWhole(settings.file)).version, (Version{1, 1}));
+}
+
 // Hard case: the file is cut at each byte, or another's.
 TEST_F(ClientTest, AFileThatIsNotWholeIsToldAndTheStartsConfigurationHolds) {
   machinesOf(1);
@@ -274,6 +292,7 @@
   publish({tenant("a", 1)});
   start();
   ASSERT_TRUE(inForce(1));
+  ASSERT_TRUE(until([&] { return !lines.empty(); }));
   ASSERT_EQ(lines.size(), 1u);
   EXPECT_NE(lines[0].find("can not be made"), std::string::npos);
 }
