The worker outlives the configuration's client, found by the sanitizers

Cause: the sanitizers ended a start's program test at its end: the client's strand lives in its worker's pool, which went first (members of Program in the wrong order); and the counting allocator freed what the library's nothrow new had made. Change: the pool is declared before the client; the nothrow forms are counted too.

--- a/bench/allocation_count.cpp
+++ b/bench/allocation_count.cpp
@@ -29,8 +29,18 @@
 
 void* operator new(std::size_t size) { return allocate(size); }
 void* operator new[](std::size_t size) { return allocate(size); }
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
+  try {
+    return allocate(size);
+  } catch (const std::bad_alloc&) {
+    return nullptr;
+  }
+}
+void* operator new[](std::size_t size, const std::nothrow_t& tag) noexcept { return operator new(size, tag); }
 void operator delete(void* memory) noexcept { release(memory); }
 void operator delete[](void* memory) noexcept { release(memory); }
+void operator delete(void* memory, const std::nothrow_t&) noexcept { release(memory); }
+void operator delete[](void* memory, const std::nothrow_t&) noexcept { release(memory); }
 void operator delete(void* memory, std::size_t) noexcept { release(memory); }
 void operator delete[](void* memory, std::size_t) noexcept { release(memory); }
 
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -269,7 +269,6 @@
     waitToReport();
   }
 
-  // The worker ends before what its jobs refer to.
   void attachConfiguration() {
     const configuration::ConfigurationSettings& settings = built_.file.configuration;
     if (!settings.enabled) return;
@@ -325,8 +324,8 @@
   std::unique_ptr<Members> members_;
   std::unique_ptr<AdminApi> adminApi_;
   std::unique_ptr<Succession> succession_;
+  std::unique_ptr<boost::asio::thread_pool> worker_;  // outlives the client, which has a strand of it
   std::unique_ptr<configuration::Client> configuration_;
-  std::unique_ptr<boost::asio::thread_pool> worker_;
   bool attached_ = false, drains_ = false;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer report_;
