--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -29,11 +29,14 @@
 using ridgeshift::ListKind;
 using ridgeshift::Phase;
 using ridgeshift::Settings;
+using standin::hostName;
+using standin::tenantName;
+using standin::zoneName;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr std::uint32_t kGateways = 520;
-constexpr std::size_t kZones = 5;
+constexpr std::size_t kZones = 5;  // as standin::zoneName spreads them
 constexpr std::size_t kUsualHosts = 46, kUsualClasses = 8, kUsualTenants = 0;
 constexpr int kRequestsPerSample = 2000;
 constexpr int kChangesPerSample = 20;
@@ -44,17 +47,6 @@
   std::size_t samples = 5;
 };
 
-std::string zoneName(std::size_t i) { return "zone-" + std::to_string(i % kZones); }
-std::string hostName(std::size_t i) { return "host-" + std::to_string(100000 + i); }
-std::string tenantName(std::size_t i) { return "tenant-" + std::to_string(100000 + i); }
-
-json hostsJson(std::size_t count) {
-  json hosts = json::array();
-  for (std::size_t i = 0; i < count; ++i)
-    hosts.push_back(standin::hostJson(hostName(i), "10.1.0.18:8443", zoneName(i)));
-  return hosts;
-}
-
 std::vector<HostEntry> entries(std::size_t count) {
   std::vector<HostEntry> all(count);
   for (std::size_t i = 0; i < count; ++i) {
@@ -171,7 +163,7 @@
 
   void hosts(std::size_t n) {
     const Clock clock;
-    const std::string list = standin::listJson(1, true, hostsJson(n)).dump();
+    const std::string list = standin::listJson(1, true, standin::hostsJson(n, "10.1.0.18:8443")).dump();
     add("hosts", n, "bytes of the whole list", "kB", [&] { return static_cast<double>(list.size()) * 1e-3; });
     add("hosts", n, "whole list, read", "ms",
         [&] { return 1e3 * processorSecondsOf([&] { parseHostList(list, clock); }); });
--- a/tools/hollow_gateways.cpp
+++ b/tools/hollow_gateways.cpp
@@ -43,6 +43,7 @@
 using configuration::Change;
 using configuration::TenantDocument;
 using nlohmann::json;
+using standin::tenantName;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using WallTime = std::chrono::steady_clock::time_point;
@@ -52,6 +53,7 @@
 constexpr std::size_t kDescriptorsBeside = 200;
 // What a gateway needs, by measurements of this program, rounded up.
 constexpr double kBytesPerGateway = 200e3, kBytesPerHost = 6000, kBytesPerTenant = 700;
+constexpr const char* kNoHost = "127.0.0.1:1";  // nothing is sent to it
 constexpr int kSingleRounds = 10;
 constexpr double kBurstPerSecond = 1600.0 / 60;
 constexpr std::size_t kApartChanges = 70;
@@ -127,24 +129,15 @@
                               (byMemory < byDescriptors ? "half of the memory" : "descriptors"));
 }
 
-std::string tenantName(std::size_t i) { return "tenant-" + std::to_string(100000 + i); }
 Change tenant(std::size_t i, double quota) {
   return {"tenant/" + tenantName(i), TenantDocument{tenantName(i), quota}};
 }
 
-json hostsJson(std::size_t n) {
-  json hosts = json::array();
-  for (std::size_t i = 0; i < n; ++i)
-    hosts.push_back(standin::hostJson("host-" + std::to_string(100000 + i), "127.0.0.1:1",
-                                      "zone-" + std::to_string(i % 5)));
-  return hosts;
-}
-
 // The control machines and discovery, on a thread of their own, so that their processor time is not the
 // gateways'.
 class ControlSide {
  public:
-  explicit ControlSide(const Options& o) : discovery_(io_, hostsJson(o.hosts)) {
+  explicit ControlSide(const Options& o) : discovery_(io_, standin::hostsJson(o.hosts, kNoHost)) {
     for (std::size_t i = 0; i < o.machines; ++i)
       machines_.push_back(std::make_unique<standin::ControlMachine>(
           io_, standin::ControlLog::Settings{1, kKept, kWholeBytesPerSecond}));
@@ -210,7 +203,7 @@
                {"discovery", control_.discovery().address()},
                {"seed", "1"},
                {"limits", {{"sockets", 256}}},
-               {"known", standin::listJson(1, true, hostsJson(options.hosts))},
+               {"known", standin::listJson(1, true, standin::hostsJson(options.hosts, kNoHost))},
                {"settings", settings}};
     for (std::size_t i = 0; i < control_.machines(); ++i) {
       settings_.addresses.push_back(control_.machine(i).address());
--- a/tools/standin_config.hpp
+++ b/tools/standin_config.hpp
@@ -1,6 +1,7 @@
 // The platform's configuration as stand-ins and tests give it to a gateway. One place for its form.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -59,4 +60,14 @@
   return {{"index", index}, {"snapshot", whole}, {"endpoints", hosts}};
 }
 
+// A fleet of any size: names that are as long whatever the number, and hosts spread over five zones.
+inline std::string zoneName(std::size_t i) { return "zone-" + std::to_string(i % 5); }
+inline std::string hostName(std::size_t i) { return "host-" + std::to_string(100000 + i); }
+inline std::string tenantName(std::size_t i) { return "tenant-" + std::to_string(100000 + i); }
+inline json hostsJson(std::size_t count, const std::string& address) {
+  json hosts = json::array();
+  for (std::size_t i = 0; i < count; ++i) hosts.push_back(hostJson(hostName(i), address, zoneName(i)));
+  return hosts;
+}
+
 }  // namespace finchstile::standin
