--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,8 @@
 # disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 stand_in=trial_3
+operator_file='[streams]
+enabled = true
+[streams.websocket]
+enabled = true'
 source "$here/../support/run_case.sh"
--- a/review/support/run_case.sh
+++ b/review/support/run_case.sh
@@ -4,11 +4,13 @@
 set -u
 root=$(cd "$here/../.." && pwd)
 work=$(mktemp -d)
-pids=()
 finish() {
   trap - EXIT INT TERM
   local pid
-  for pid in ${pids[@]+"${pids[@]}"}; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; wait "$pid" 2>/dev/null; done
+  for pid in $(jobs -rp) $(jobs -sp); do
+    kill -KILL "$pid" 2>/dev/null
+    wait "$pid" 2>/dev/null
+  done
   rm -rf "$work"
 }
 trap finish EXIT
@@ -23,7 +25,6 @@
 : >"$here/record.txt"
 "$root/build/review/$stand_in" "$work" "$here/record.txt" &
 trial=$!
-pids+=("$trial")
 for _ in $(seq 100); do
   [ -e "$work/ready" ] && break
   kill -0 "$trial" 2>/dev/null || exit 2
@@ -35,9 +36,6 @@
   command="$command run --operator $work/operator.toml"
 fi
 (cd "$root" && LB_NAME=n1 LB_CONFIG="$work/config.json" TMPDIR="$work/tmp" exec /bin/sh -c "$command") 2>"$work/gateway.log" &
-gateway=$!
-pids+=("$gateway")
-echo "$gateway" >"$work/gateway.pid.new" && mv "$work/gateway.pid.new" "$work/gateway.pid"
 wait "$trial"
 verdict=$?
 [ "$verdict" -le 2 ] || verdict=2
