Attempt log names the connection of an attempt; unsolicited bytes are counted

The attempt log did not say which connection an attempt used, nor how long that had rested, and bytes that came on a resting connection closed it without a word.

Change: attempts are logged with `port` (the gateway's port, as the host and a packet capture see it) and `rest_us` (since the previous response on that connection). lb_unsolicited_bytes_delay_seconds is a histogram of bytes that belong to no request, by the time since that response. Lines of earlier versions, which lack the keys, are still read.

--- a/src/app/trace_log.cpp
+++ b/src/app/trace_log.cpp
@@ -112,6 +112,10 @@
   line.responseAgeMs = ageMs(host.lastResponseAt, attempt.chosenAt);
   line.uptimeMs = std::max(ageMs(host.startedAt, attempt.chosenAt), std::int64_t{0});
   line.avoided = host.avoided;
+  line.connectionPort = attempt.connection.localPort;
+  const Time lastResponseAt = attempt.connection.lastResponseAt;
+  if (lastResponseAt != Time{})
+    line.connectionRestUs = unixMicroseconds(attempt.firstByteAt) - unixMicroseconds(lastResponseAt);
   add(line);
 }
 
--- a/src/net/attempt_log.hpp
+++ b/src/net/attempt_log.hpp
@@ -7,6 +7,7 @@
 
 #include "finchstile/load_balancer.hpp"
 #include "net/request_filter.hpp"
+#include "net/upstream_messages.hpp"
 
 namespace finchstile {
 
@@ -29,6 +30,7 @@
   bool timedOut = false;
   bool requestEnded = false;  ///< The request had finished before this attempt ended.
   HostObservation hostObservation;
+  ConnectionUse connection;
 };
 
 /// One finished request. The view is valid during the call only.
--- a/src/net/attempt_manager.cpp
+++ b/src/net/attempt_manager.cpp
@@ -38,7 +38,7 @@
   // own. The load balancer's limit starts with the last byte.
   const Time deadline = request->bodyIncomplete ? Time::max() : now + action.duration;
   Attempt& attempt = table_.add(
-      id, {action.request, action.attempt, action.host, now, deadline, {}, {}, {}, action.sendDeadline});
+      id, {action.request, action.attempt, action.host, now, deadline, {}, {}, {}, action.sendDeadline, {}});
   const UpstreamHost* const host = hosts_.find(action.host);
   // The load balancer only chooses hosts of this table. If one were missing, the attempt would time out.
   if (!host) return;
@@ -51,7 +51,8 @@
 // While the attempt waited for a connection, the request may have finished, its client may have disconnected,
 // its deadline or the idempotency window may have passed, or the host may have been removed or set to
 // draining. All of these are therefore checked directly before the first byte.
-std::optional<OutgoingRequest> AttemptManager::compose(AttemptId id, Outcome& unsentOutcome) {
+std::optional<OutgoingRequest> AttemptManager::compose(AttemptId id, const ConnectionUse& connection,
+                                                       Outcome& unsentOutcome) {
   Attempt* const attempt = table_.find(id);
   if (!attempt) return std::nullopt;
   ActiveRequest* const request = requests_.table().findUnfinished(attempt->request);
@@ -68,6 +69,7 @@
     return std::nullopt;
   }
   attempt->firstByteAt = now;
+  attempt->connection = connection;
   OutgoingRequest out{composeMessage(*request, *host, timeLeft), !request->bodyIncomplete};
   out.upgrade = request->pendingUpgrade != nullptr;
   if (RequestContext* const context = request->context.get()) {
@@ -307,10 +309,10 @@
 void AttemptManager::log(const Attempt& attempt, const UpstreamHost* host, const ActiveRequest& request,
                          Outcome outcome, bool timedOut) const {
   if (!extensions_.attemptLog || !host) return;
-  extensions_.attemptLog->onAttempt({request.correlationId(), config_.settings.classes[request.classIndex],
-                                     attempt.number, host->listed.address, host->listed.zone,
-                                     host->listed.cell, attempt.sentAt, attempt.firstByteAt, outcome,
-                                     timedOut, request.finished, attempt.hostObservation});
+  extensions_.attemptLog->onAttempt(
+      {request.correlationId(), config_.settings.classes[request.classIndex], attempt.number,
+       host->listed.address, host->listed.zone, host->listed.cell, attempt.sentAt, attempt.firstByteAt,
+       outcome, timedOut, request.finished, attempt.hostObservation, attempt.connection});
 }
 
 }  // namespace finchstile
--- a/src/net/attempt_manager.hpp
+++ b/src/net/attempt_manager.hpp
@@ -61,7 +61,8 @@
   bool forwardRequestBody(load_balancing::RequestId id, std::string&& piece, bool last);
 
   // Events of the pool; see UpstreamCallbacks.
-  std::optional<OutgoingRequest> compose(AttemptId id, load_balancing::Outcome& unsentOutcome);
+  std::optional<OutgoingRequest> compose(AttemptId id, const ConnectionUse& connection,
+                                         load_balancing::Outcome& unsentOutcome);
   bool maySendLastByte(AttemptId id);
   void onReadyForRequestBody(AttemptId id);
   /// Returns false if there is no such attempt.
--- a/src/net/attempt_table.hpp
+++ b/src/net/attempt_table.hpp
@@ -24,6 +24,7 @@
   Time firstByteAt{};        ///< When the first byte was sent; 0 if none was.
   HostObservation hostObservation;
   Time sendDeadline = Time::max();  ///< Latest time at which a byte may be sent.
+  ConnectionUse connection;
 };
 
 /// Owns the attempts and their deadlines.
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -423,6 +423,7 @@
 GatewayMetrics Gateway::metrics() const {
   GatewayMetrics metrics = metrics_.snapshot();
   metrics.attemptsSent = pool_.sends();
+  metrics.unsolicitedBytes = pool_.unsolicitedBytes();
   metrics.activeRequests = relays_.size() + requests_.table().unfinishedCount();
   metrics.listedHosts = hosts_.listedCount();
   metrics.avoidedHosts = hosts_.avoidedCount();
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -141,9 +141,9 @@
   void onResponseAborted(RelayId relay) override { relays_.onAborted(relay); }
 
   // UpstreamCallbacks
-  std::optional<OutgoingRequest> composeRequest(AttemptId attempt,
+  std::optional<OutgoingRequest> composeRequest(AttemptId attempt, const ConnectionUse& connection,
                                                 load_balancing::Outcome& unsentOutcome) override {
-    return attempts_.compose(attempt, unsentOutcome);
+    return attempts_.compose(attempt, connection, unsentOutcome);
   }
   bool maySendLastByte(AttemptId attempt) override { return attempts_.maySendLastByte(attempt); }
   void onReadyForRequestBody(AttemptId attempt) override { attempts_.onReadyForRequestBody(attempt); }
--- a/src/net/gateway_metrics.hpp
+++ b/src/net/gateway_metrics.hpp
@@ -1,10 +1,15 @@
 // Counters of a gateway since its start, and gauges of its present state.
 #pragma once
 
+#include <algorithm>
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "finchstile/load_balancer.hpp"
+
 namespace finchstile {
 
 /// Finished requests by response status: 200; 429 or 503; any other. A request whose client disconnected
@@ -14,12 +19,37 @@
   std::uint64_t succeeded = 0, rejected = 0, failed = 0;
 };
 
+/// Bytes of hosts that belong to no request, by the time since the last response on their connection: a
+/// response that was sent twice, or what a host sends before it closes an idle connection.
+class UnsolicitedBytesMetrics {
+ public:
+  using Duration = load_balancing::Duration;
+  /// Upper bounds of the buckets, inclusive; the last bucket has none.
+  static constexpr std::array<std::chrono::milliseconds, 6> kBounds{
+      {std::chrono::milliseconds(1), std::chrono::milliseconds(5), std::chrono::milliseconds(10),
+       std::chrono::milliseconds(25), std::chrono::milliseconds(100), std::chrono::milliseconds(1000)}};
+
+  void add(Duration delay) {
+    ++counts_[static_cast<std::size_t>(std::lower_bound(kBounds.begin(), kBounds.end(), delay) -
+                                       kBounds.begin())];
+    sum_ += delay;
+  }
+  /// Number of events by bucket, not cumulative.
+  const std::array<std::uint64_t, kBounds.size() + 1>& counts() const { return counts_; }
+  Duration sum() const { return sum_; }
+
+ private:
+  std::array<std::uint64_t, kBounds.size() + 1> counts_{};
+  Duration sum_{};
+};
+
 /// A snapshot of the counters and gauges.
 struct GatewayMetrics {
   std::vector<ClassMetrics> classes;  ///< In the order of the settings.
   std::uint64_t attemptsSent = 0;     ///< Attempts whose last byte was written.
   std::uint64_t loadReports = 0;      ///< Valid load reports received from hosts.
   std::uint64_t malformedLoadReports = 0;
+  UnsolicitedBytesMetrics unsolicitedBytes;
   std::uint64_t activeRequests = 0;  ///< Accepted requests that have not finished.
   std::uint64_t listedHosts = 0;     ///< Hosts of the endpoint list, including draining ones.
   std::uint64_t avoidedHosts = 0;    ///< Listed hosts that receive no new requests, for any reason.
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -61,9 +61,13 @@
   });
   socket_.async_connect(endpoint_, [this, self, startedAt](error_code error) {
     if (closed_ || !connecting_) return;
-    roundTrip_ = pool_.clock_.now() - startedAt;
+    connectedAt_ = pool_.clock_.now();
+    roundTrip_ = connectedAt_ - startedAt;
     error_code ignored;
-    if (!error) socket_.set_option(tcp::no_delay(true), ignored);
+    if (!error) {
+      socket_.set_option(tcp::no_delay(true), ignored);
+      localPort_ = socket_.local_endpoint(ignored).port();
+    }
     endConnect(!error);
   });
 }
@@ -154,7 +158,7 @@
   timer_.expires_after(verificationTime());
   timer_.async_wait([this, self = shared_from_this(), from](error_code cancelled) {
     if (cancelled || closed_) return;
-    if (isAlive() && pool_.callbacks_.maySendLastByte(attempt_)) return write(from, request_.size());
+    if (isQuiet() && pool_.callbacks_.maySendLastByte(attempt_)) return write(from, request_.size());
     endAttempt(Outcome::connectFailed);
   });
   watchBeforeLastByte();
@@ -165,7 +169,7 @@
   socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code) {
     watchingBeforeLastByte_ = false;
     // Bytes that arrive before the complete request was sent are not a response to it.
-    if (!closed_ && attempt_ != 0 && !lastByteSent_ && !isAlive()) endAttempt(Outcome::connectFailed);
+    if (!closed_ && attempt_ != 0 && !lastByteSent_ && !isQuiet()) endAttempt(Outcome::connectFailed);
   });
 }
 
@@ -334,13 +338,18 @@
 
 // Bytes after the response belong to no request, and no next response may be read from there.
 bool UpstreamConnection::isReusable() {
-  return reader_.parser().keep_alive() && buffer_.size() == 0 && isAlive();
+  lastResponseAt_ = pool_.clock_.now();
+  if (!reader_.parser().keep_alive()) return false;
+  if (buffer_.size() == 0) return isQuiet();
+  pool_.onUnsolicitedBytes(Duration{});
+  return false;
 }
 
 // The host may have closed the connection a moment ago, with the notification still in the receive queue.
-bool UpstreamConnection::isAlive() {
+bool UpstreamConnection::isQuiet() {
   char byte = 0;
   const ssize_t unread = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (unread > 0) pool_.onUnsolicitedBytes(pool_.clock_.now() - std::max(lastResponseAt_, connectedAt_));
   return unread < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -349,7 +358,7 @@
   socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code error) {
     watchingIdle_ = false;
     if (closed_ || attempt_ != 0) return;
-    if (!error && isAlive()) return watchWhileIdle();
+    if (!error && isQuiet()) return watchWhileIdle();
     pool_.onIdleConnectionEnded(self);
     close();
   });
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -38,8 +38,11 @@
   /// True if the last byte of the request was written or is being written.
   bool lastByteSent() const { return lastByteSent_; }
 
-  /// Returns false if the host has closed the connection or has sent unsolicited bytes.
-  bool isAlive();
+  ConnectionUse use() const { return {localPort_, lastResponseAt_}; }
+
+  /// Returns false if the host has closed the connection or has sent unsolicited bytes, which are counted. To
+  /// be called once after the connection has ceased to be quiet.
+  bool isQuiet();
   void beginIdle(Time now) { idleSince_ = now; }
   /// Closes the connection if the host closes it or sends anything while it is idle.
   void watchWhileIdle();
@@ -79,8 +82,11 @@
   boost::asio::steady_timer timer_;
   tcp::endpoint endpoint_;
   Time idleSince_{};
-  Duration roundTrip_{};  // duration of the connect
-  bool closed_ = false;   // closed, or handed over by an upgrade; the pool does not count it any more
+  std::uint16_t localPort_ = 0;
+  Time connectedAt_{};
+  Time lastResponseAt_{};  // when the previous response was complete; 0 if there was none
+  Duration roundTrip_{};   // duration of the connect
+  bool closed_ = false;    // closed, or handed over by an upgrade; the pool does not count it any more
   bool connecting_ = true;
   bool watchingIdle_ = false;
   bool watchingBeforeLastByte_ = false;
--- a/src/net/upstream_messages.hpp
+++ b/src/net/upstream_messages.hpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <string>
 
+#include "net/clock.hpp"
+
 namespace finchstile {
 
 /// Identifies one attempt of a request at a host. Ids are never reused.
@@ -19,6 +21,12 @@
   boost::beast::http::fields head;  ///< Set for every complete response, regardless of its status.
 };
 
+/// The connection of an attempt.
+struct ConnectionUse {
+  std::uint16_t localPort = 0;  ///< Identifies the connection at its host; 0: the attempt got no connection.
+  Time lastResponseAt{};        ///< When the previous response on it was complete; 0 on a new connection.
+};
+
 /// A request to a host, ready to be sent.
 struct OutgoingRequest {
   UpstreamRequest message;
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -30,7 +30,7 @@
   while (!upstream.idle.empty()) {
     const auto connection = upstream.idle.back();
     upstream.idle.pop_back();
-    if (!connection->isAlive() || connection->endpoint() != endpoint) {
+    if (!connection->isQuiet() || connection->endpoint() != endpoint) {
       connection->close();
       continue;
     }
@@ -49,7 +49,7 @@
 // Returns false if the attempt is not to be sent any more; the connection is still free.
 bool UpstreamPool::trySend(AttemptId id, const ConnectionPointer& connection) {
   Outcome unsentOutcome = Outcome::connectFailed;
-  std::optional<OutgoingRequest> request = callbacks_.composeRequest(id, unsentOutcome);
+  std::optional<OutgoingRequest> request = callbacks_.composeRequest(id, connection->use(), unsentOutcome);
   if (!request) {
     asio::post(io_, [this, id, unsentOutcome] { failWaiting(id, unsentOutcome); });
     return false;
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -16,6 +16,7 @@
 
 #include "finchstile/load_balancer.hpp"
 #include "net/clock.hpp"
+#include "net/gateway_metrics.hpp"
 #include "net/upstream_messages.hpp"
 
 namespace finchstile {
@@ -28,10 +29,10 @@
 class UpstreamCallbacks {
  public:
   virtual ~UpstreamCallbacks() = default;
-  /// Called directly before the first byte is written. If it returns none, nothing is sent and the attempt
-  /// ends with `unsentOutcome`, which the callee may set; its initial value means that the attempt got no
-  /// connection.
-  virtual std::optional<OutgoingRequest> composeRequest(AttemptId attempt,
+  /// Called directly before the first byte is written on `connection`. If it returns none, nothing is sent
+  /// and the attempt ends with `unsentOutcome`, which the callee may set; its initial value means that the
+  /// attempt got no connection.
+  virtual std::optional<OutgoingRequest> composeRequest(AttemptId attempt, const ConnectionUse& connection,
                                                         load_balancing::Outcome& unsentOutcome) = 0;
   /// Returns true if the last byte may still be sent after the connection was verified.
   virtual bool maySendLastByte(AttemptId attempt) = 0;
@@ -103,6 +104,7 @@
   std::size_t upstreams() const { return upstreams_.size(); }  ///< Number of hosts with a record.
   std::size_t opened() const { return opened_; }               ///< Connections opened since the start.
   std::size_t sends() const { return sends_; }  ///< Attempts whose last byte was written, since the start.
+  const UnsolicitedBytesMetrics& unsolicitedBytes() const { return unsolicitedBytes_; }
 
  private:
   friend class UpstreamConnection;
@@ -129,6 +131,8 @@
   void onConnectEnded(const ConnectionPointer& connection, bool connected);
   void onIdleConnectionEnded(const ConnectionPointer& connection);
   void onRequestSent() { ++sends_; }
+  /// Bytes that belong to no request have arrived `delay` after the last response on their connection.
+  void onUnsolicitedBytes(Duration delay) { unsolicitedBytes_.add(delay); }
   /// Removes an attempt whose end the connection reports itself.
   void eraseAttempt(AttemptId attempt) { attempts_.erase(attempt); }
   void settle(AttemptId attempt, load_balancing::Outcome outcome, UpstreamResponse&& response = {});
@@ -153,6 +157,7 @@
   std::size_t connections_ = 0;
   std::size_t opened_ = 0;
   std::size_t sends_ = 0;
+  UnsolicitedBytesMetrics unsolicitedBytes_;
 };
 
 }  // namespace finchstile
--- a/src/ops/exposition.cpp
+++ b/src/ops/exposition.cpp
@@ -1,5 +1,7 @@
 #include "ops/exposition.hpp"
 
+#include <chrono>
+#include <cstdio>
 #include <string_view>
 
 #include "base/metric_label.hpp"
@@ -8,7 +10,7 @@
 namespace {
 
 // Estimated sizes, so that one allocation is enough.
-constexpr std::size_t kBytesWithoutClasses = 256;
+constexpr std::size_t kBytesWithoutClasses = 1280;
 constexpr std::size_t kBytesPerClass = 192;
 
 void appendType(std::string& out, std::string_view name, std::string_view type) {
@@ -28,6 +30,27 @@
   out += series + "errored\"} " + std::to_string(requestClass.failed) + "\n";
 }
 
+std::string seconds(UnsolicitedBytesMetrics::Duration duration) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%g", std::chrono::duration<double>(duration).count());
+  return text;
+}
+
+void appendUnsolicitedBytes(std::string& out, const UnsolicitedBytesMetrics& metrics) {
+  constexpr std::string_view kName = "unsolicited_bytes_delay_seconds";
+  appendType(out, kName, "histogram");
+  const std::string series = "lb_" + std::string(kName);
+  std::uint64_t count = 0;
+  for (std::size_t i = 0; i < metrics.counts().size(); ++i) {
+    count += metrics.counts()[i];
+    const bool isBounded = i < UnsolicitedBytesMetrics::kBounds.size();
+    out += series + "_bucket{le=\"" + (isBounded ? seconds(UnsolicitedBytesMetrics::kBounds[i]) : "+Inf") +
+           "\"} " + std::to_string(count) + "\n";
+  }
+  out += series + "_sum " + seconds(metrics.sum()) + "\n";
+  out += series + "_count " + std::to_string(count) + "\n";
+}
+
 }  // namespace
 
 std::string renderMetrics(const GatewayMetrics& metrics, const ConfigMetrics& config) {
@@ -41,6 +64,7 @@
   appendValue(out, "cluster_unhealthy", "gauge", metrics.avoidedHosts);
   appendValue(out, "load_reports_total", "counter", metrics.loadReports);
   appendValue(out, "load_reports_spoilt_total", "counter", metrics.malformedLoadReports);
+  appendUnsolicitedBytes(out, metrics.unsolicitedBytes);
   appendValue(out, "conf_loaded_total", "counter", config.loaded);
   appendValue(out, "conf_invalid_total", "counter", config.invalid);
   return out;
--- a/src/trace/trace_line.hpp
+++ b/src/trace/trace_line.hpp
@@ -58,10 +58,12 @@
   EndReason endReason = EndReason::host;
   Execution execution = Execution::no;
   // The state of the host in the gateway when the host was chosen.
-  std::int64_t listingAgeMs = kNever;   // since the host was last in an endpoint list
-  std::int64_t responseAgeMs = kNever;  // since the last response of the host to this gateway
-  std::int64_t uptimeMs = 0;            // since the host started; 0: long ago or unknown
-  bool avoided = false;                 // whether the load balancer avoided the host
+  std::int64_t listingAgeMs = kNever;      // since the host was last in an endpoint list
+  std::int64_t responseAgeMs = kNever;     // since the last response of the host to this gateway
+  std::int64_t uptimeMs = 0;               // since the host started; 0: long ago or unknown
+  bool avoided = false;                    // whether the load balancer avoided the host
+  std::uint32_t connectionPort = 0;        // the gateway's port of the connection; 0: the attempt got none
+  std::int64_t connectionRestUs = kNever;  // from the connection's previous response to the first byte
 };
 
 // A request at one gateway. Times are Unix time in microseconds.
--- a/src/trace/trace_line_codec.cpp
+++ b/src/trace/trace_line_codec.cpp
@@ -119,6 +119,12 @@
            "must be a whole number of " + std::to_string(minimum) + " or more");
   }
 
+  // For keys that lines of earlier versions lack.
+  template <class Integer>
+  void optionalNumber(std::string_view key, Integer& out, Integer minimum) {
+    if (fields_.count(key) > 0) number(key, out, minimum);
+  }
+
   template <class Enum, std::size_t Count>
   void name(std::string_view key, const EnumNames<Enum, Count>& names, Enum& out) {
     const auto value = find(key);
@@ -191,6 +197,8 @@
   writer.number("heard_ms", attempt.responseAgeMs);
   writer.number("up_ms", attempt.uptimeMs);
   writer.number("avoided", attempt.avoided ? 1 : 0);
+  writer.number("port", attempt.connectionPort);
+  writer.number("rest_us", attempt.connectionRestUs);
   if (attempt.idempotency != Idempotency::idempotentWithKey) return;
   writer.raw("group", nameIn(kDeduplicationScopeNames, attempt.deduplicationScope));
   writer.number("window_ms", attempt.deduplicationWindowMs);
@@ -264,6 +272,8 @@
   int avoided = 0;
   fields.number("avoided", avoided, 0);
   attempt.avoided = avoided != 0;
+  fields.optionalNumber("port", attempt.connectionPort, std::uint32_t{0});
+  fields.optionalNumber("rest_us", attempt.connectionRestUs, kNever);
   if (attempt.idempotency != Idempotency::idempotentWithKey) return attempt;
   fields.name("group", kDeduplicationScopeNames, attempt.deduplicationScope);
   fields.number("window_ms", attempt.deduplicationWindowMs, kMinDurationMs);
--- a/tests/net/upstream_pool_test.cpp
+++ b/tests/net/upstream_pool_test.cpp
@@ -14,7 +14,8 @@
   bool requestOpen = true;
   std::vector<std::pair<AttemptId, load_balancing::Outcome>> outcomes;
   bool maySendLastByte(AttemptId) override { return true; }
-  std::optional<OutgoingRequest> composeRequest(AttemptId id, load_balancing::Outcome&) override {
+  std::optional<OutgoingRequest> composeRequest(AttemptId id, const ConnectionUse&,
+                                                load_balancing::Outcome&) override {
     if (!requestOpen) return std::nullopt;
     return OutgoingRequest{UpstreamRequest(http::verb::get, "/" + std::to_string(id), 11), true};
   }
--- a/tests/ops/exposition_test.cpp
+++ b/tests/ops/exposition_test.cpp
@@ -15,6 +15,8 @@
   metrics.avoidedHosts = 2;
   metrics.loadReports = 5;
   metrics.malformedLoadReports = 6;
+  for (const int delayMs : {0, 3, 5, 25, 26, 2000})
+    metrics.unsolicitedBytes.add(std::chrono::milliseconds(delayMs));
   EXPECT_EQ(renderMetrics(metrics, {4, 1}),
             "# TYPE lb_transactions_total counter\n"
             "lb_transactions_total{group=\"log-in\",state=\"answered\"} 812\n"
@@ -29,6 +31,16 @@
             "# TYPE lb_cluster_unhealthy gauge\nlb_cluster_unhealthy 2\n"
             "# TYPE lb_load_reports_total counter\nlb_load_reports_total 5\n"
             "# TYPE lb_load_reports_spoilt_total counter\nlb_load_reports_spoilt_total 6\n"
+            "# TYPE lb_unsolicited_bytes_delay_seconds histogram\n"
+            "lb_unsolicited_bytes_delay_seconds_bucket{le=\"0.001\"} 1\n"
+            "lb_unsolicited_bytes_delay_seconds_bucket{le=\"0.005\"} 3\n"
+            "lb_unsolicited_bytes_delay_seconds_bucket{le=\"0.01\"} 3\n"
+            "lb_unsolicited_bytes_delay_seconds_bucket{le=\"0.025\"} 4\n"
+            "lb_unsolicited_bytes_delay_seconds_bucket{le=\"0.1\"} 5\n"
+            "lb_unsolicited_bytes_delay_seconds_bucket{le=\"1\"} 5\n"
+            "lb_unsolicited_bytes_delay_seconds_bucket{le=\"+Inf\"} 6\n"
+            "lb_unsolicited_bytes_delay_seconds_sum 2.059\n"
+            "lb_unsolicited_bytes_delay_seconds_count 6\n"
             "# TYPE lb_conf_loaded_total counter\nlb_conf_loaded_total 4\n"
             "# TYPE lb_conf_invalid_total counter\nlb_conf_invalid_total 1\n");
 }
--- a/tests/trace/trace_line_codec_test.cpp
+++ b/tests/trace/trace_line_codec_test.cpp
@@ -31,6 +31,8 @@
   a.responseAgeMs = kNever;
   a.uptimeMs = 12;
   a.avoided = true;
+  a.connectionPort = 41752;
+  a.connectionRestUs = 26034;
   return a;
 }
 
@@ -89,6 +91,8 @@
   EXPECT_EQ(a.deduplicationWindowMs, 2000);
   EXPECT_EQ(a.responseAgeMs, kNever);
   EXPECT_TRUE(a.avoided);
+  EXPECT_EQ(a.connectionPort, 41752u);
+  EXPECT_EQ(a.connectionRestUs, 26034);
   EXPECT_EQ(a.deduplicationScope, DeduplicationScope::zone);
 }
 
@@ -97,7 +101,8 @@
   EXPECT_EQ(text(attempt()),
             "trace attempt gw=n54 id=574506fc class=log-in effect=keyed try=2 host=s-1 zone=cluj cell=3 "
             "sent=1764621000000001 begun=1764621000000400 ended=1764621000084000 outcome=reset why=host "
-            "ran=maybe word_ms=900 heard_ms=-1 up_ms=12 avoided=1 group=zone window_ms=2000");
+            "ran=maybe word_ms=900 heard_ms=-1 up_ms=12 avoided=1 port=41752 rest_us=26034 group=zone "
+            "window_ms=2000");
   EXPECT_EQ(text(request()),
             "trace request gw=n54 id=574506fc class=stock-out effect=unsafe came=5 ended=1000 left_ms=480 "
             "end=refused status=503 attempts=1 cut=37");
@@ -158,6 +163,16 @@
   EXPECT_EQ(parseLine(text(attempt()) + " colour=red").status, ParseResult::Status::ok);
 }
 
+TEST(TraceLineCodec, ReadsAttemptsOfVersionsWithoutTheConnection) {
+  std::string line = text(attempt());
+  const std::string keys = " port=41752 rest_us=26034";
+  line.erase(line.find(keys), keys.size());
+  const ParseResult result = parseLine(line);
+  ASSERT_EQ(result.status, ParseResult::Status::ok);
+  EXPECT_EQ(std::get<AttemptLine>(result.line).connectionPort, 0u);
+  EXPECT_EQ(std::get<AttemptLine>(result.line).connectionRestUs, kNever);
+}
+
 TEST(TraceLineCodec, ReportsTheCodeAndTheKeyOfAnError) {
   expectError("trace colour gw=a", ParseErrorCode::unknownKind,
               "'colour' is none of attempt, request, host, start, stop, gap");
