A connection to a host rests before its next request, so that copies show

Cause: a connection was used again with the last byte of a response. A host that sends the response again some milliseconds later answers the next request with it. A copy of a 503 with X-Unprocessed proves that an attempt never ran, for the wrong attempt: the request goes elsewhere while its host works on it.

Evidence: three gateway processes before stand-in hosts. Eleven traced breaches all begin with an attempt that its gateway logs as `full` before its host has answered it.

Change: 25 ms between a response and the next request on its connection, up to 100 ms while unsolicited bytes are seen to come late. Attempts wait for resting connections; new ones are opened beyond those, and if attempts wait often. Why it works: within that time a copy meets a connection that carries no request. The truncation test, 5,800 requests one after another to a host that repeats nothing, sets 1 ms; its expectations are as before.

--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -25,6 +25,7 @@
   root.table("upstream", [&](SettingReader& reader) {
     reader.size("connecting", options.maxConnectingPerHost, 1, 64);
     reader.duration("proof_least", options.minVerificationTime, milliseconds(0), milliseconds(100));
+    reader.duration("reuse_delay", options.minReuseDelay, milliseconds(0), milliseconds(100));
     reader.number("descriptor_share", options.upstreamDescriptorFraction, 0.05, 0.9);
     if (options.clientDescriptorFraction + options.upstreamDescriptorFraction > 0.95)
       reader.error("descriptor_share", "and clients.descriptor_share must be 0.95 together at most");
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -85,7 +85,8 @@
 
 void Gateway::setOptions(const GatewayOptions& options) {
   listener_.setOptions(options.clients);
-  pool_.setConnectionOptions(options.maxConnectingPerHost, options.minVerificationTime);
+  pool_.setConnectionOptions(options.maxConnectingPerHost, options.minVerificationTime,
+                             options.minReuseDelay);
 }
 
 void Gateway::restoreLearnedState(const load_balancing::LearnedState& learned) {
--- a/src/net/gateway_limits.cpp
+++ b/src/net/gateway_limits.cpp
@@ -65,7 +65,8 @@
           scaled(config.upstreamIdleTimeout, kIdleFractionOfHostTimeout),
           config.options.maxConnectingPerHost,
           descriptorShare(config, config.options.upstreamDescriptorFraction),
-          config.options.minVerificationTime};
+          config.options.minVerificationTime,
+          config.options.minReuseDelay};
 }
 
 Discovery::Timeouts discoveryTimeouts(const load_balancing::Settings& settings) {
--- a/src/net/gateway_options.hpp
+++ b/src/net/gateway_options.hpp
@@ -37,6 +37,9 @@
   /// Minimum time for which the last byte of a request is held back while its connection is verified. On a
   /// busy machine the peer process may need this time to run, even if the network needs none.
   load_balancing::Duration minVerificationTime = std::chrono::milliseconds(1);
+  /// Minimum time between a response and the next request on the same connection; see ReuseDelay. A busy
+  /// machine delays a response that its host repeats at once.
+  load_balancing::Duration minReuseDelay = std::chrono::milliseconds(25);
 };
 
 }  // namespace finchstile
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -257,7 +257,7 @@
   const AttemptId attempt = std::exchange(attempt_, 0);
   relaying_ = false;
   pool_.eraseAttempt(attempt);
-  if (isReusable()) pool_.assign(self);
+  if (isReusable()) pool_.release(self);
   else closeAndReplace();
   pool_.callbacks_.onResponseBody(attempt, std::move(piece), true);
 }
@@ -276,7 +276,7 @@
   response.head = std::move(static_cast<http::fields&>(message.base()));
   const AttemptId attempt = std::exchange(attempt_, 0);
   // Reporting the outcome may start the next attempt, so the connection is freed first.
-  if (reusable) pool_.assign(self);
+  if (reusable) pool_.release(self);
   else closeAndReplace();
   pool_.settle(attempt, outcome, std::move(response));
 }
@@ -360,7 +360,7 @@
     if (closed_ || attempt_ != 0) return;
     if (!error && isQuiet()) return watchWhileIdle();
     pool_.onIdleConnectionEnded(self);
-    close();
+    closeAndReplace();
   });
 }
 
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -44,6 +44,9 @@
   /// be called once after the connection has ceased to be quiet.
   bool isQuiet();
   void beginIdle(Time now) { idleSince_ = now; }
+  /// The connection must not carry another request before `delay` has passed.
+  void beginRest(Time now, Duration delay) { restsUntil_ = now + delay; }
+  Time restsUntil() const { return restsUntil_; }
   /// Closes the connection if the host closes it or sends anything while it is idle.
   void watchWhileIdle();
   void close();
@@ -82,6 +85,7 @@
   boost::asio::steady_timer timer_;
   tcp::endpoint endpoint_;
   Time idleSince_{};
+  Time restsUntil_{};  // 0 before the first response
   std::uint16_t localPort_ = 0;
   Time connectedAt_{};
   Time lastResponseAt_{};  // when the previous response was complete; 0 if there was none
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -15,7 +15,7 @@
 
 UpstreamPool::UpstreamPool(asio::io_context& io, const Clock& clock, Limits limits,
                            UpstreamCallbacks& callbacks)
-    : io_(io), clock_(clock), limits_(limits), callbacks_(callbacks) {}
+    : io_(io), clock_(clock), limits_(limits), callbacks_(callbacks), reuseDelay_(limits.minReuseDelay) {}
 
 UpstreamPool::~UpstreamPool() = default;
 
@@ -27,18 +27,10 @@
   attempt.verifyConnection = verifyConnection;
   Upstream& upstream = upstreams_[host];
   upstream.endpoint = endpoint;
-  while (!upstream.idle.empty()) {
-    const auto connection = upstream.idle.back();
-    upstream.idle.pop_back();
-    if (!connection->isQuiet() || connection->endpoint() != endpoint) {
-      connection->close();
-      continue;
-    }
-    if (!trySend(id, connection)) assign(connection);
-    return;
-  }
   upstream.waiting.push_back(id);
-  connectForWaiting(host);
+  serveWaiting(host);
+  if (upstream.waiting.empty()) return;
+  if (!upstream.idle.empty() && upstream.restWaits.add(clock_.now())) connect(host, upstream, 1);
   // The wait behind other attempts may be longer than any single connect, but is limited by the same timeout.
   attempt.waitTimer.emplace(io_, limits_.connectTimeout);
   attempt.waitTimer->async_wait([this, id](error_code cancelled) {
@@ -46,6 +38,27 @@
   });
 }
 
+void UpstreamPool::serveWaiting(HostId host) {
+  Upstream& upstream = upstreams_[host];
+  while (!upstream.waiting.empty()) {
+    const auto connection = takeRested(upstream);
+    if (!connection) break;
+    if (!sendNextWaiting(upstream, connection)) keepIdle(upstream, connection);
+  }
+  connectForWaiting(host);
+  awaitRest(host);
+}
+
+// Returns false if no waiting attempt is to be sent any more; the connection is still free.
+bool UpstreamPool::sendNextWaiting(Upstream& upstream, const ConnectionPointer& connection) {
+  while (!upstream.waiting.empty()) {
+    const AttemptId id = upstream.waiting.front();
+    upstream.waiting.pop_front();
+    if (trySend(id, connection)) return true;
+  }
+  return false;
+}
+
 // Returns false if the attempt is not to be sent any more; the connection is still free.
 bool UpstreamPool::trySend(AttemptId id, const ConnectionPointer& connection) {
   Outcome unsentOutcome = Outcome::connectFailed;
@@ -104,28 +117,67 @@
 
 // --- Connections
 
-void UpstreamPool::assign(const ConnectionPointer& connection) {
-  Upstream& upstream = upstreams_[connection->host()];
+void UpstreamPool::release(const ConnectionPointer& connection) {
+  const HostId host = connection->host();
+  Upstream& upstream = upstreams_[host];
   if (connection->endpoint() != upstream.endpoint) {  // the old address may belong to another host by now
     connection->close();
-    return connectForWaiting(connection->host());
-  }
-  while (!upstream.waiting.empty()) {
-    const AttemptId id = upstream.waiting.front();
-    upstream.waiting.pop_front();
-    if (trySend(id, connection)) return;
+    return connectForWaiting(host);
   }
+  connection->beginRest(clock_.now(), reuseDelay_.at(clock_.now()));
+  keepIdle(upstream, connection);
+  if (!upstream.waiting.empty()) serveWaiting(host);
+}
+
+void UpstreamPool::keepIdle(Upstream& upstream, const ConnectionPointer& connection) {
   if (!upstream.pooling) return connection->close();
   connection->beginIdle(clock_.now());
   upstream.idle.push_back(connection);
   connection->watchWhileIdle();
 }
 
+// Returns the most recently used connection that has rested; null if there is none.
+UpstreamPool::ConnectionPointer UpstreamPool::takeRested(Upstream& upstream) {
+  const Time now = clock_.now();
+  for (std::size_t i = upstream.idle.size(); i-- > 0;) {
+    const auto connection = upstream.idle[i];
+    if (connection->restsUntil() > now) continue;
+    upstream.idle.erase(upstream.idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (connection->isQuiet() && connection->endpoint() == upstream.endpoint) return connection;
+    connection->close();
+  }
+  return nullptr;
+}
+
+// Serves the waiting attempts when the next connection has rested.
+void UpstreamPool::awaitRest(HostId host) {
+  Upstream& upstream = upstreams_[host];
+  if (upstream.waiting.empty() || upstream.idle.empty()) return;
+  const auto next = std::min_element(
+      upstream.idle.begin(), upstream.idle.end(),
+      [](const auto& one, const auto& other) { return one->restsUntil() < other->restsUntil(); });
+  if (!upstream.restTimer) upstream.restTimer.emplace(io_);
+  upstream.restTimer->expires_at(clock_.steady((*next)->restsUntil()));
+  upstream.restTimer->async_wait([this, host](error_code cancelled) {
+    if (!cancelled) serveWaiting(host);
+  });
+}
+
+void UpstreamPool::onUnsolicitedBytes(Duration delay) {
+  unsolicitedBytes_.add(delay);
+  reuseDelay_.onUnsolicitedBytes(clock_.now(), delay);
+}
+
+// A connect costs the host real work and takes longer than a connection rests, so there are never more than
+// attempts are waiting for which no resting connection will do, and only a few at once.
 void UpstreamPool::connectForWaiting(HostId host) {
   Upstream& upstream = upstreams_[host];
-  // A connect costs the host real work, so there are never more than attempts are waiting, and only a few at
-  // once.
-  while (upstream.connecting.size() < std::min(upstream.waiting.size(), limits_.maxConnectingPerHost)) {
+  const std::size_t covered = upstream.idle.size() + upstream.connecting.size();
+  if (upstream.waiting.size() > covered) connect(host, upstream, upstream.waiting.size() - covered);
+}
+
+void UpstreamPool::connect(HostId host, Upstream& upstream, std::size_t count) {
+  for (; count > 0 && upstream.connecting.size() < limits_.maxConnectingPerHost; --count) {
     if (connections_ >= limits_.maxConnections && !closeOneIdle()) return;
     const auto connection = std::make_shared<UpstreamConnection>(*this, host);
     upstream.connecting.push_back(connection);
@@ -139,12 +191,13 @@
   upstream.connecting.erase(std::remove(upstream.connecting.begin(), upstream.connecting.end(), connection),
                             upstream.connecting.end());
   if (connected) {
-    assign(connection);
+    if (connection->endpoint() != upstream.endpoint) connection->close();
+    else if (!sendNextWaiting(upstream, connection)) keepIdle(upstream, connection);
     return connectForWaiting(host);
   }
   // A failed connect fails one attempt. The others have connects of their own, or get a connection that is in
-  // use now.
-  if (upstream.waiting.empty()) return;
+  // use or rests now.
+  if (upstream.waiting.size() <= upstream.idle.size()) return;
   failWaiting(upstream.waiting.front());
   connectForWaiting(host);
 }
@@ -194,10 +247,11 @@
   }
 }
 
-// Closes an idle connection to free its descriptor. Returns false if none is idle.
+// Closes an idle connection to free its descriptor. Returns false if none is idle, or if attempts wait for
+// those that are.
 bool UpstreamPool::closeOneIdle() {
   for (auto& [host, upstream] : upstreams_) {
-    if (upstream.idle.empty()) continue;
+    if (upstream.idle.empty() || !upstream.waiting.empty()) continue;
     upstream.idle.front()->close();
     upstream.idle.erase(upstream.idle.begin());
     return true;
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -17,6 +17,7 @@
 #include "finchstile/load_balancer.hpp"
 #include "net/clock.hpp"
 #include "net/gateway_metrics.hpp"
+#include "net/reuse_delay.hpp"
 #include "net/upstream_messages.hpp"
 
 namespace finchstile {
@@ -59,8 +60,9 @@
                           const boost::beast::http::fields& head) = 0;
 };
 
-/// Sends each attempt on an idle connection to its host, or on a new one when none is idle. Attempts that
-/// wait for a connection are served in order.
+/// Sends each attempt on an idle connection to its host that has rested for the reuse delay, on the next one
+/// that will have rested, or on a new one if there are too few of these. Attempts that wait for a connection
+/// are served in order.
 class UpstreamPool {
  public:
   struct Limits {
@@ -71,6 +73,8 @@
     std::size_t maxConnections = 256;  ///< To all hosts together.
     /// Minimum time for which the last byte is held back while its connection is verified.
     Duration minVerificationTime = std::chrono::milliseconds(1);
+    /// Minimum time between a response and the next request on the same connection; see ReuseDelay.
+    Duration minReuseDelay{};
   };
 
   UpstreamPool(boost::asio::io_context& io, const Clock& clock, Limits limits, UpstreamCallbacks& callbacks);
@@ -91,9 +95,11 @@
   void setPooling(load_balancing::HostId host, bool pooling);
   /// Removes the host's record. Returns false if an attempt or a connection still needs it.
   bool removeHost(load_balancing::HostId host);
-  void setConnectionOptions(std::size_t maxConnectingPerHost, Duration minVerificationTime) {
+  void setConnectionOptions(std::size_t maxConnectingPerHost, Duration minVerificationTime,
+                            Duration minReuseDelay) {
     limits_.maxConnectingPerHost = maxConnectingPerHost;
     limits_.minVerificationTime = minVerificationTime;
+    reuseDelay_.setMinimum(minReuseDelay);
   }
   /// Closes connections that have been idle for too long. To be called a few times a second; additional calls
   /// are harmless.
@@ -111,10 +117,12 @@
   using ConnectionPointer = std::shared_ptr<UpstreamConnection>;
 
   struct Upstream {
-    std::vector<ConnectionPointer> idle;  // the most recently used one is last
+    std::vector<ConnectionPointer> idle;  // the most recently used one is last; some may still have to rest
     std::deque<AttemptId> waiting;        // attempts without a connection
     std::vector<ConnectionPointer> connecting;
-    std::size_t connections = 0;  // idle, connecting and in use
+    std::size_t connections = 0;                         // idle, connecting and in use
+    std::optional<boost::asio::steady_timer> restTimer;  // runs if attempts wait while connections rest
+    RestWaitCounter restWaits;
     tcp::endpoint endpoint;
     bool pooling = true;
   };
@@ -132,16 +140,23 @@
   void onIdleConnectionEnded(const ConnectionPointer& connection);
   void onRequestSent() { ++sends_; }
   /// Bytes that belong to no request have arrived `delay` after the last response on their connection.
-  void onUnsolicitedBytes(Duration delay) { unsolicitedBytes_.add(delay); }
+  void onUnsolicitedBytes(Duration delay);
   /// Removes an attempt whose end the connection reports itself.
   void eraseAttempt(AttemptId attempt) { attempts_.erase(attempt); }
   void settle(AttemptId attempt, load_balancing::Outcome outcome, UpstreamResponse&& response = {});
-  /// Assigns a free connection to a waiting attempt, or keeps it idle.
-  void assign(const ConnectionPointer& connection);
+  /// Keeps a connection whose response is complete.
+  void release(const ConnectionPointer& connection);
   /// Opens connections for waiting attempts, within the limits.
   void connectForWaiting(load_balancing::HostId host);
+  /// Opens `count` connections, within the limits.
+  void connect(load_balancing::HostId host, Upstream& upstream, std::size_t count);
 
+  void serveWaiting(load_balancing::HostId host);
+  bool sendNextWaiting(Upstream& upstream, const ConnectionPointer& connection);
   bool trySend(AttemptId attempt, const ConnectionPointer& connection);
+  ConnectionPointer takeRested(Upstream& upstream);
+  void keepIdle(Upstream& upstream, const ConnectionPointer& connection);
+  void awaitRest(load_balancing::HostId host);
   bool closeOneIdle();
   UpstreamConnection* connectionOf(AttemptId attempt);
   void failWaiting(AttemptId attempt,
@@ -158,6 +173,7 @@
   std::size_t opened_ = 0;
   std::size_t sends_ = 0;
   UnsolicitedBytesMetrics unsolicitedBytes_;
+  ReuseDelay reuseDelay_;
 };
 
 }  // namespace finchstile
--- a/tests/net/ends_test.cpp
+++ b/tests/net/ends_test.cpp
@@ -222,6 +222,55 @@
   EXPECT_EQ(executions, 2);
 }
 
+// --- Responses that come twice
+
+// Guards against a response given to another client's request: the host sends it again 4 ms later, whatever
+// its status and length, and the next request follows at once.
+TEST_F(EndsTest, DoesNotTakeRepeatedResponseForTheNextOne) {
+  std::vector<std::unique_ptr<asio::steady_timer>> timers;
+  std::size_t bodyBytes = 0;
+  bool rejects = false;
+  host([&](const std::shared_ptr<Peer>& peer, const Received& request) {
+    const std::string body = std::string(request["X-Correlation-Id"]) + std::string(bodyBytes, 'x');
+    const auto reply = [peer, body, rejected = rejects](error_code) {
+      try {
+        if (rejected) peer->reply(503, body, "X-Unprocessed: 1\r\n");
+        else peer->reply(200, body);
+      } catch (const boost::system::system_error&) {
+        // The gateway has closed the connection.
+      }
+    };
+    for (const milliseconds after : {milliseconds(8), milliseconds(12)}) {
+      timers.push_back(std::make_unique<asio::steady_timer>(io, after));
+      timers.back()->async_wait(reply);
+    }
+  });
+  start();
+  const auto c = client();
+  std::size_t answered = 0;
+  const auto expectOwnResponse = [&](const std::string& method, const std::string& path,
+                                     const std::string& headers) {
+    c->sendRequest(method, path, 2500, method == "POST" ? "x" : "", headers);
+    ASSERT_TRUE(until([&] { return c->answers.size() > answered; }));
+    const auto& answer = c->answers[answered++];
+    if (rejects) return;
+    EXPECT_EQ(answer.result_int(), 200u) << path;
+    EXPECT_EQ(answer.body().substr(0, c->id.size()), c->id) << path;
+  };
+  for (const std::size_t bytes : {std::size_t{0}, std::size_t{100'000}})
+    for (const bool precededByRejection : {false, true}) {
+      bodyBytes = bytes;
+      for (int round = 0; round < 4; ++round) {
+        rejects = precededByRejection;
+        expectOwnResponse("GET", "/read", "");
+        rejects = false;
+        expectOwnResponse("GET", "/read", "");
+        expectOwnResponse("POST", "/book", "");
+        expectOwnResponse("POST", "/put", "Idempotency-Key: " + c->id + "\r\n");
+      }
+    }
+}
+
 // --- Closing
 
 // A request may be sent at the moment when the gateway closes its idle connection. It is not forwarded, and
@@ -338,6 +387,7 @@
     if (closesByReset) peer->socket.set_option(asio::socket_base::linger(true, 0));
     peer->close();
   });
+  minReuseDelayOverride = milliseconds(1);  // 5,800 requests one after another; the host repeats no response
   start();
   const auto c = client(), steadyClient = client();
   const auto statusFor = [&](const std::string& what) {
--- a/tests/net/upstream_pool_test.cpp
+++ b/tests/net/upstream_pool_test.cpp
@@ -1,6 +1,8 @@
 // Tests of UpstreamPool against scripted hosts on loopback, without a gateway.
 #include "net/upstream_pool.hpp"
 
+#include <map>
+
 #include "support/gateway_fixture.hpp"
 
 namespace finchstile::testing {
@@ -13,6 +15,7 @@
   Clock clock;
   bool requestOpen = true;
   std::vector<std::pair<AttemptId, load_balancing::Outcome>> outcomes;
+  std::map<AttemptId, std::string> bodies;
   bool maySendLastByte(AttemptId) override { return true; }
   std::optional<OutgoingRequest> composeRequest(AttemptId id, const ConnectionUse&,
                                                 load_balancing::Outcome&) override {
@@ -25,8 +28,14 @@
   void onResponseBody(AttemptId, std::string&&, bool) override {}
   void onResponseTruncated(AttemptId) override {}
   void onUpgraded(AttemptId, tcp::socket&&, std::string&&, const http::fields&) override {}
-  void onOutcome(AttemptId id, load_balancing::Outcome outcome, UpstreamResponse&&) override {
+  void onOutcome(AttemptId id, load_balancing::Outcome outcome, UpstreamResponse&& response) override {
     outcomes.emplace_back(id, outcome);
+    bodies[id] = response.body;
+  }
+  UpstreamPool::Limits limitsWithReuseDelay(milliseconds reuseDelay) {
+    UpstreamPool::Limits limits{milliseconds(500), milliseconds(500), milliseconds(30000)};
+    limits.minReuseDelay = reuseDelay;
+    return limits;
   }
 };
 
@@ -158,6 +167,141 @@
   EXPECT_EQ(pool.connections(), 1u);
 }
 
+// --- Connections that rest
+
+// Guards against a response given to another attempt: the host sends it a second time while the connection
+// rests.
+TEST_F(UpstreamPoolTest, DoesNotReuseConnectionOnWhichHostRepeatsItsResponse) {
+  asio::steady_timer copyTimer(io);
+  Server host(io, [&](const auto& peer, const Received& request) {
+    const std::string body(request.target());
+    peer->reply(200, body);
+    copyTimer.expires_after(milliseconds(5));
+    copyTimer.async_wait([peer, body](error_code) { peer->reply(200, body); });
+  });
+  UpstreamPool pool(io, clock, limitsWithReuseDelay(milliseconds(200)), *this);
+  for (AttemptId id = 1; id <= 3; ++id) {
+    pool.send(id, 0, host.endpoint());
+    ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == id; }));
+    EXPECT_EQ(bodies[id], "/" + std::to_string(id));
+  }
+  EXPECT_EQ(pool.opened(), 3u);
+  std::uint64_t unsolicited = 0;
+  for (const std::uint64_t count : pool.unsolicitedBytes().counts()) unsolicited += count;
+  EXPECT_EQ(unsolicited, 2u);
+}
+
+TEST_F(UpstreamPoolTest, SendsWaitingAttemptOnceConnectionHasRested) {
+  Server host(io, serveOk);
+  UpstreamPool pool(io, clock, limitsWithReuseDelay(milliseconds(50)), *this);
+  pool.send(1, 0, host.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  const auto respondedAt = std::chrono::steady_clock::now();
+  pool.send(2, 0, host.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 2; }));
+  EXPECT_EQ(outcomes[1].second, load_balancing::Outcome::served);
+  EXPECT_GE(std::chrono::steady_clock::now() - respondedAt, milliseconds(49));
+  EXPECT_EQ(pool.opened(), 1u);
+}
+
+TEST_F(UpstreamPoolTest, OpensConnectionForAttemptsBeyondThoseThatRestingConnectionsServe) {
+  std::vector<std::shared_ptr<Peer>> held;
+  Server host(io, [&](const auto& peer, const Received&) { held.push_back(peer); });
+  UpstreamPool pool(io, clock, limitsWithReuseDelay(std::chrono::seconds(1)), *this);
+  pool.send(1, 0, host.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return held.size() == 1; }));
+  held[0]->reply(200, "ok");
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  pool.send(2, 0, host.endpoint());
+  EXPECT_EQ(pool.opened(), 1u);
+  pool.send(3, 0, host.endpoint());
+  EXPECT_EQ(pool.opened(), 2u);
+  ASSERT_TRUE(runUntil(io, [&] { return held.size() == 2; }));  // the new connection needs no rest
+  EXPECT_EQ(host.received[1].target(), "/2");
+}
+
+// An attempt that waits for a resting connection does not fail with the connect of another one.
+TEST_F(UpstreamPoolTest, WaitsForRestingConnectionThoughHostRefusesNewOnes) {
+  Server host(io, serveOk);
+  UpstreamPool pool(io, clock, limitsWithReuseDelay(milliseconds(50)), *this);
+  const tcp::endpoint endpoint = host.endpoint();
+  pool.send(1, 0, endpoint);
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  host.stop();
+  for (AttemptId id = 2; id <= 3; ++id) pool.send(id, 0, endpoint);
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 3; }));
+  EXPECT_EQ(outcomes[1].second, load_balancing::Outcome::connectFailed);
+  EXPECT_EQ(outcomes[2].second, load_balancing::Outcome::served);
+}
+
+// The connection for which an attempt waits may be closed, with the descriptors at their limit.
+TEST_F(UpstreamPoolTest, ReplacesRestingConnectionThatHostCloses) {
+  Server host(io, serveOk);
+  UpstreamPool::Limits limits = limitsWithReuseDelay(milliseconds(400));
+  limits.maxConnections = 1;
+  UpstreamPool pool(io, clock, limits, *this);
+  pool.send(1, 0, host.endpoint());
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == 1; }));
+  pool.send(2, 0, host.endpoint());
+  pool.send(3, 0, host.endpoint());
+  EXPECT_EQ(pool.connections(), 1u);  // the resting one is not closed in favour of a new one
+  EXPECT_EQ(pool.opened(), 1u);
+  host.peers[0]->close();
+  ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() >= 2; }));
+  EXPECT_EQ(outcomes[1].second, load_balancing::Outcome::served);
+  EXPECT_EQ(pool.opened(), 2u);
+}
+
+TEST_F(UpstreamPoolTest, OpensOneMoreConnectionIfAttemptsWaitOften) {
+  Server host(io, serveOk);
+  UpstreamPool pool(io, clock, limitsWithReuseDelay(milliseconds(5)), *this);
+  for (AttemptId id = 1; id <= 60; ++id) {
+    pool.send(id, 0, host.endpoint());
+    ASSERT_TRUE(runUntil(io, [&] { return outcomes.size() == id; }));
+  }
+  EXPECT_GE(pool.opened(), 2u);
+  EXPECT_LE(pool.opened(), 7u);
+}
+
+TEST(ReuseDelay, GrowsWithTheDelayOfUnsolicitedBytes) {
+  ReuseDelay delay(milliseconds(25));
+  const Time start = std::chrono::hours(1);
+  EXPECT_EQ(delay.at(start), milliseconds(25));
+  delay.onUnsolicitedBytes(start, milliseconds(10));
+  EXPECT_EQ(delay.at(start), milliseconds(25));
+  delay.onUnsolicitedBytes(start, milliseconds(20));
+  EXPECT_EQ(delay.at(start), milliseconds(40));
+  delay.onUnsolicitedBytes(start, milliseconds(15));
+  EXPECT_EQ(delay.at(start), milliseconds(40));
+  delay.onUnsolicitedBytes(start, milliseconds(90));
+  EXPECT_EQ(delay.at(start), milliseconds(100));
+  EXPECT_EQ(delay.at(start + std::chrono::minutes(5)), milliseconds(25));
+}
+
+TEST(ReuseDelay, StaysOffWithMinimumOfZero) {
+  ReuseDelay delay(milliseconds(25));
+  delay.onUnsolicitedBytes(Time{}, milliseconds(20));
+  delay.setMinimum(milliseconds(0));
+  delay.onUnsolicitedBytes(Time{}, milliseconds(20));
+  EXPECT_EQ(delay.at(Time{}), Duration{});
+}
+
+TEST(ReuseDelay, IgnoresBytesThatNoDelayCovers) {
+  ReuseDelay delay(milliseconds(25));
+  delay.onUnsolicitedBytes(Time{}, std::chrono::seconds(30));
+  EXPECT_EQ(delay.at(Time{}), milliseconds(25));
+}
+
+TEST(RestWaitCounter, AsksForConnectionAfterManyWaitsWithinOneSecond) {
+  RestWaitCounter waits;
+  Time now = std::chrono::hours(1);
+  int connections = 0;
+  for (int i = 0; i < 40; ++i) connections += waits.add(now += milliseconds(10));
+  EXPECT_EQ(connections, 4);
+  for (int i = 0; i < 40; ++i) connections += waits.add(now += milliseconds(200));
+  EXPECT_EQ(connections, 4);
+}
+
 TEST_F(UpstreamPoolTest, ClosesIdleConnectionsAfterMaxIdleTime) {
   Server host(io, serveOk);
   UpstreamPool pool(io, clock, {milliseconds(500), milliseconds(500), milliseconds(1), 4}, *this);
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -17,6 +17,7 @@
   // Replaces options.minVerificationTime if positive. Chosen longer than the scheduling delays of a busy
   // machine.
   Duration minVerificationTimeOverride{};
+  std::optional<Duration> minReuseDelayOverride;  // replaces options.minReuseDelay
 
   Server& host(Server::Handler h) { return *hosts.emplace_back(std::make_unique<Server>(io, std::move(h))); }
   json hostListJson() {
@@ -31,6 +32,7 @@
     GatewayConfig read = readConfig(config.dump(), clock);
     if (minVerificationTimeOverride > Duration{})
       read.options.minVerificationTime = minVerificationTimeOverride;
+    if (minReuseDelayOverride) read.options.minReuseDelay = *minReuseDelayOverride;
     if (drainServeTimeOverride) read.options.drainServeTime = *drainServeTimeOverride;
     gateway = std::make_unique<Gateway>(io, clock, std::move(read));
     gateway->start();
