A list that comes twice does not answer the next poll

What callers saw: nothing yet; found on the path related to responses given to other requests. Bytes behind a response of discovery or of a control machine stayed in the long-poll client's buffer and were taken for the response to the next poll. From then on polls ran one ahead of their responses, two open at a time, until the connection ended.

Change: a response with bytes behind it ends its connection; the next poll opens a new one. A copy that comes while the next poll is open still answers that: lists and versions are applied in order and may be repeated.

Measured: EndsTest.DoesNotTakeRepeatedListForTheResponseToTheNextPoll sees three polls for two responses without the change, and passes with it. Cost: one connection for each list that comes twice, none otherwise.

--- a/src/net/long_poll_client.cpp
+++ b/src/net/long_poll_client.cpp
@@ -129,10 +129,11 @@
 void LongPollClient::onComplete(const std::shared_ptr<Connection>& connection) {
   *timerArmed_ = false;
   timer_.cancel();
-  const bool keepAlive = connection->parser->keep_alive();
+  // Bytes behind the response belong to no poll and must not be read as the response to the next one.
+  const bool reusable = connection->parser->keep_alive() && connection->buffer.size() == 0;
   auto message = connection->parser->release();
   LongPollResponse response{message.result_int(), retryAfterOf(message), std::move(message.body())};
-  if (!keepAlive) stop();
+  if (!reusable) stop();
   callbacks_.onLongPollResponse(std::move(response));
 }
 
--- a/tests/net/ends_test.cpp
+++ b/tests/net/ends_test.cpp
@@ -271,6 +271,22 @@
     }
 }
 
+// Guards against polls that run ahead of their responses: discovery sends a list twice, and the copy is taken
+// for the response to the next poll.
+TEST_F(EndsTest, DoesNotTakeRepeatedListForTheResponseToTheNextPoll) {
+  host(serveOk);
+  start();
+  ASSERT_TRUE(until([&] { return polls.size() == 1; }));
+  const std::string list = listJson(2, false, json::array()).dump();
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
+  polls[0]->write(response + response);
+  ASSERT_TRUE(until([&] { return polls.size() == 2; }));
+  ASSERT_TRUE(runFor(milliseconds(100)));
+  EXPECT_EQ(polls.size(), 2u);
+  EXPECT_NE(polls[1], polls[0]);  // on a connection of its own
+}
+
 // --- Closing
 
 // A request may be sent at the moment when the gateway closes its idle connection. It is not forwarded, and
