--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -140,7 +140,7 @@
 UpstreamPool::ConnectionPointer UpstreamPool::takeRested(Upstream& upstream) {
   const Time now = clock_.now();
   for (std::size_t i = upstream.idle.size(); i-- > 0;) {
-    const auto connection = upstream.idle[i];
+    ConnectionPointer connection = upstream.idle[i];
     if (connection->restsUntil() > now) continue;
     upstream.idle.erase(upstream.idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (connection->isQuiet() && connection->endpoint() == upstream.endpoint) return connection;
