The pool derives until when a connection rests, and names what ends a response

A connection kept until when it rests beside the time of its last response, from which that follows; its question isReusable() also noted the end of the response; each response read the clock three times and each send looked its host up twice for an empty queue.

Change: the rest is the last response plus the delay in force, so a delay that grows holds for connections that rest already; finishResponse() says what it does; serveWaiting() ends where nobody waits. A destructor of the test that members' order makes superfluous is gone.

--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -257,14 +257,14 @@
   const AttemptId attempt = std::exchange(attempt_, 0);
   relaying_ = false;
   pool_.eraseAttempt(attempt);
-  if (isReusable()) pool_.release(self);
+  if (finishResponse()) pool_.release(self);
   else closeAndReplace();
   pool_.callbacks_.onResponseBody(attempt, std::move(piece), true);
 }
 
 void UpstreamConnection::onComplete() {
   const auto self = shared_from_this();
-  const bool reusable = isReusable();
+  const bool reusable = finishResponse();
   http::response<http::string_body> message = reader_.takeMessage();
   UpstreamResponse response;
   const Outcome outcome = outcomeOf(message);
@@ -336,8 +336,9 @@
   pool_.settle(attempt, outcome);
 }
 
-// Bytes after the response belong to no request, and no next response may be read from there.
-bool UpstreamConnection::isReusable() {
+// Returns true if the connection may carry another request. Bytes after the response belong to no request,
+// and no next response may be read from there.
+bool UpstreamConnection::finishResponse() {
   lastResponseAt_ = pool_.clock_.now();
   if (!reader_.parser().keep_alive()) return false;
   if (buffer_.size() == 0) return isQuiet();
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -39,14 +39,13 @@
   bool lastByteSent() const { return lastByteSent_; }
 
   ConnectionUse use() const { return {localPort_, lastResponseAt_}; }
+  /// When the previous response was complete; 0 if there was none.
+  Time lastResponseAt() const { return lastResponseAt_; }
 
   /// Returns false if the host has closed the connection or has sent unsolicited bytes, which are counted. To
   /// be called once after the connection has ceased to be quiet.
   bool isQuiet();
   void beginIdle(Time now) { idleSince_ = now; }
-  /// The connection must not carry another request before `delay` has passed.
-  void beginRest(Time now, Duration delay) { restsUntil_ = now + delay; }
-  Time restsUntil() const { return restsUntil_; }
   /// Closes the connection if the host closes it or sends anything while it is idle.
   void watchWhileIdle();
   void close();
@@ -76,7 +75,7 @@
   void stopStallTimer();
   void failResponse();
   void endAttempt(load_balancing::Outcome outcome);
-  bool isReusable();
+  bool finishResponse();
   void closeAndReplace();
 
   const load_balancing::HostId host_;
@@ -85,12 +84,11 @@
   boost::asio::steady_timer timer_;
   tcp::endpoint endpoint_;
   Time idleSince_{};
-  Time restsUntil_{};  // 0 before the first response
   std::uint16_t localPort_ = 0;
   Time connectedAt_{};
-  Time lastResponseAt_{};  // when the previous response was complete; 0 if there was none
-  Duration roundTrip_{};   // duration of the connect
-  bool closed_ = false;    // closed, or handed over by an upgrade; the pool does not count it any more
+  Time lastResponseAt_{};
+  Duration roundTrip_{};  // duration of the connect
+  bool closed_ = false;   // closed, or handed over by an upgrade; the pool does not count it any more
   bool connecting_ = true;
   bool watchingIdle_ = false;
   bool watchingBeforeLastByte_ = false;
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -45,6 +45,7 @@
     if (!connection) break;
     if (!sendNextWaiting(upstream, connection)) keepIdle(upstream, connection);
   }
+  if (upstream.waiting.empty()) return;
   connectForWaiting(host);
   awaitRest(host);
 }
@@ -124,9 +125,8 @@
     connection->close();
     return connectForWaiting(host);
   }
-  connection->beginRest(clock_.now(), reuseDelay_.at(clock_.now()));
   keepIdle(upstream, connection);
-  if (!upstream.waiting.empty()) serveWaiting(host);
+  serveWaiting(host);
 }
 
 void UpstreamPool::keepIdle(Upstream& upstream, const ConnectionPointer& connection) {
@@ -139,9 +139,10 @@
 // Returns the most recently used connection that has rested; null if there is none.
 UpstreamPool::ConnectionPointer UpstreamPool::takeRested(Upstream& upstream) {
   const Time now = clock_.now();
+  const Duration delay = reuseDelay_.at(now);
   for (std::size_t i = upstream.idle.size(); i-- > 0;) {
     ConnectionPointer connection = upstream.idle[i];
-    if (connection->restsUntil() > now) continue;
+    if (connection->lastResponseAt() + delay > now) continue;
     upstream.idle.erase(upstream.idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (connection->isQuiet() && connection->endpoint() == upstream.endpoint) return connection;
     connection->close();
@@ -152,12 +153,13 @@
 // Serves the waiting attempts when the next connection has rested.
 void UpstreamPool::awaitRest(HostId host) {
   Upstream& upstream = upstreams_[host];
-  if (upstream.waiting.empty() || upstream.idle.empty()) return;
+  if (upstream.idle.empty()) return;
   const auto next = std::min_element(
       upstream.idle.begin(), upstream.idle.end(),
-      [](const auto& one, const auto& other) { return one->restsUntil() < other->restsUntil(); });
+      [](const auto& one, const auto& other) { return one->lastResponseAt() < other->lastResponseAt(); });
+  const Time restedAt = (*next)->lastResponseAt() + reuseDelay_.at(clock_.now());
   if (!upstream.restTimer) upstream.restTimer.emplace(io_);
-  upstream.restTimer->expires_at(clock_.steady((*next)->restsUntil()));
+  upstream.restTimer->expires_at(clock_.steady(restedAt));
   upstream.restTimer->async_wait([this, host](error_code cancelled) {
     if (!cancelled) serveWaiting(host);
   });
--- a/tests/app/second_response_test.cpp
+++ b/tests/app/second_response_test.cpp
@@ -57,8 +57,6 @@
   std::vector<std::string> foreignIds;
   int requests = 0, served = 0, unanswered = 0;
 
-  ~SecondResponseTest() override { gateways.clear(); }
-
   void startHosts(DuplicatingHostBehavior behavior, std::chrono::microseconds latencyToOtherZone) {
     for (int i = 0; i < 2 * kHostsPerZone; ++i) {
       const bool isLocal = i < kHostsPerZone;
