An early response to a long request does not count as unsolicited bytes

What callers saw: nothing of their own request; after a host that answers a long request before its end, all connections could rest for up to 100 ms for five minutes, and lb_unsolicited_bytes_delay_seconds showed a copy that was none.

Cause: the look at the socket before the last byte counts whatever lies unread. While the body is incomplete that may be a response to its own request.

Change: not counted then; the attempt ends as before.

Measured: BodiesTest.RefusesRequestAnsweredBeforeEndOfBody, which has a further expectation, fails without the change (1 for 0) and passes with it.

--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -350,7 +350,9 @@
 bool UpstreamConnection::isQuiet() {
   char byte = 0;
   const ssize_t unread = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (unread > 0) pool_.onUnsolicitedBytes(pool_.clock_.now() - std::max(lastResponseAt_, connectedAt_));
+  // A host may respond to a long request before it has received all of it.
+  if (unread > 0 && !bodyIncomplete_)
+    pool_.onUnsolicitedBytes(pool_.clock_.now() - std::max(lastResponseAt_, connectedAt_));
   return unread < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/tests/net/bodies_test.cpp
+++ b/tests/net/bodies_test.cpp
@@ -363,6 +363,9 @@
   asio::write(*rawHost->sockets[0],
               asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
   ASSERT_TRUE(until([&] { return c->receivedBytes.find("HTTP/1.1 503") == 0; }));
+  // Nor does an early response count as one that belongs to no request, which would lengthen the reuse delay.
+  const GatewayMetrics metrics = gateway->metrics();
+  for (const std::uint64_t count : metrics.unsolicitedBytes.counts()) EXPECT_EQ(count, 0u);
 }
 
 // The gateway stops reading from a fast client while its host does not read. A client that then stops sending
