--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -33,7 +33,7 @@
   RECORD("--- subsystem: %s", subsystem.name.c_str());
   const TemporaryFolder own;
   const std::string operatorFile = folder.write("operator.toml", subsystem.settings);
-  GatewayInstallation installation(test, own, discovery, operatorFile);
+  GatewayInstallation installation(test, own, discovery.port(), discovery.list(), operatorFile);
   auto first = installation.start("first");
   if (!installation.awaitOpsReady(*first, 10)) return std::nullopt;
   if (sendBooking(installation.port(), {"key-1-" + newId(), "x"}, 1000) != 200) return std::nullopt;
--- a/review/support-2/replacement.hpp
+++ b/review/support-2/replacement.hpp
@@ -19,12 +19,13 @@
 
 class GatewayInstallation {
  public:
-  GatewayInstallation(const Test& test, const TemporaryFolder& folder, const Discovery& discovery,
-                      std::string operatorFile)
+  // `known`: the list of hosts in each process's configuration. `operatorFile`: empty for none.
+  GatewayInstallation(const Test& test, const TemporaryFolder& folder, int discoveryPort, std::string known,
+                      std::string operatorFile = "")
       : test_(test), folder_(folder), operatorFile_(std::move(operatorFile)) {
     config_.listen = freePort();
-    config_.discovery = discovery.port();
-    config_.known = discovery.list();
+    config_.discovery = discoveryPort;
+    config_.known = std::move(known);
     listener_ = listenOnLoopback(config_.listen);
     temporaryFolder_ = folder_.folder("tmp");
   }
@@ -37,7 +38,7 @@
     const std::string file = folder_.write(name + ".json", configurationText(config));
     Process::Options options;
     options.root = test_.root;
-    options.command = runCommand(test_.root) + " --operator " + operatorFile_;
+    options.command = runCommand(test_.root) + (operatorFile_.empty() ? "" : " --operator " + operatorFile_);
     options.temporaryFolder = temporaryFolder_;
     options.log = folder_ / (name + ".log");
     options.environment = {{"LB_CONFIG", file},
