--- a/review/support-2/stand_ins.hpp
+++ b/review/support-2/stand_ins.hpp
@@ -98,10 +98,11 @@
 
 inline std::string textOf(int port) { return "127.0.0.1:" + std::to_string(port); }
 
-inline int listenOnLoopback(int port = 0) {
+inline int listenOnLoopback(int port = 0, int receiveBuffer = 0) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (receiveBuffer > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
   const sockaddr_in address = loopback(port);
   if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
       ::listen(fd, 512) != 0) {
@@ -285,8 +286,9 @@
 class Server {
  public:
   using Serve = std::function<void(Connection&)>;
-  explicit Server(Serve serve)
-      : serve_(std::move(serve)), listener_(listenOnLoopback()), port_(portOf(listener_)) {
+  // `receiveBuffer`: of its connections, in bytes; 0: the system's own.
+  explicit Server(Serve serve, int receiveBuffer = 0)
+      : serve_(std::move(serve)), listener_(listenOnLoopback(0, receiveBuffer)), port_(portOf(listener_)) {
     std::thread([this] { accept(); }).detach();
   }
   int port() const { return port_; }
@@ -350,8 +352,9 @@
 // over, with no changes.
 class Discovery {
  public:
-  explicit Discovery(const std::vector<const Host*>& hosts)
-      : list_(listOf(hosts)), server_([this](Connection& c) {
+  explicit Discovery(const std::vector<const Host*>& hosts) : Discovery(listOf(hosts)) {}
+  explicit Discovery(std::string list)
+      : list_(std::move(list)), server_([this](Connection& c) {
           while (const auto call = c.readMessage()) {
             const std::string target = call->path();
             const std::size_t timeout = target.find("timeout_ms=");
