Review cases 6 to 10: a test ends its children and removes its folder at every end

Cause: threads of stand-ins could run on while what they use was taken down, and the time limit left the test's folder behind.

Change: each test ends by one function, which ends the children, removes the folders and leaves without waiting for threads. What the cases do and check is as it was.

--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -69,7 +69,7 @@
   const TemporaryFolder folder;
   GatewayInstallation installation(test, folder, discovery.port(), discovery.firstList());
   auto first = installation.start("first");
-  if (!installation.awaitOpsReady(*first, 10)) return kCouldNotRun;
+  if (!installation.awaitOpsReady(*first, 10)) finish(kCouldNotRun);
   std::atomic<bool> stop{false};
   std::map<int, int> statuses;
   std::thread client([&] { askForPlans(installation.port(), stop, statuses); });
@@ -94,7 +94,7 @@
   }
   stop = true;
   client.join();
-  if (!ready || toldAt == 0 || second->process.exitStatus()) return kCouldNotRun;
+  if (!ready || toldAt == 0 || second->process.exitStatus()) finish(kCouldNotRun);
 
   int beforeReplacement = 0, late = 0;
   for (const double at : hosts.arrivals()) {
@@ -105,5 +105,5 @@
   RECORD("requests to %s after the grace, from the first process: %d", kDrainingHost, beforeReplacement);
   RECORD("requests to %s over %.2f s after the second process's yes: %d", kDrainingHost,
          kBindingSeconds + kGraceSeconds, late);
-  return beforeReplacement + late > 0 ? kBroken : kHeld;
+  finish(beforeReplacement + late > 0 ? kBroken : kHeld);
 }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -97,7 +97,7 @@
                    folder / "log",
                    {{"LB_CONFIG", folder.write("config.json", configurationText(config))}},
                    -1});
-  if (!awaitReady(config.listen, 10)) return kCouldNotRun;
+  if (!awaitReady(config.listen, 10)) finish(kCouldNotRun);
 
   Counts counts;
   std::vector<std::thread> clients;
@@ -112,6 +112,6 @@
   if (gateway.exitStatus()) RECORD("the gateway has ended");
   RECORD("requests %d, served %d, answered later than %.2f s after their last byte: %d", counts.sent.load(),
          counts.served.load(), kAllowedSeconds, counts.late.load());
-  if (counts.served == 0) return kCouldNotRun;
-  return counts.late > 0 ? kBroken : kHeld;
+  if (counts.served == 0) finish(kCouldNotRun);
+  finish(counts.late > 0 ? kBroken : kHeld);
 }
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -54,12 +54,12 @@
                    folder / "log",
                    {{"LB_CONFIG", folder.write("config.json", configurationText(config))}},
                    -1});
-  if (!awaitReady(config.listen, 10)) return kCouldNotRun;
+  if (!awaitReady(config.listen, 10)) finish(kCouldNotRun);
 
   int cut = 0;
   for (int i = 0; i < kRequests; ++i) {
     const auto connection = Connection::to(config.listen);
-    if (!connection) return kCouldNotRun;
+    if (!connection) finish(kCouldNotRun);
     const std::string path = "/stock-out/" + std::to_string(i);
     connection->write("POST " + path + " HTTP/1.1\r\nHost: gateway\r\nX-Correlation-Id: " + newId() +
                       "\r\nX-Time-Left-Ms: " + std::to_string(kTimeLeftMs) +
@@ -74,5 +74,5 @@
   }
   if (gateway.exitStatus()) RECORD("the gateway has ended");
   RECORD("answers cut off: %d of %d", cut, kRequests);
-  return cut > 0 ? kBroken : kHeld;
+  finish(cut > 0 ? kBroken : kHeld);
 }
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -77,7 +77,7 @@
                    folder / "log",
                    {{"LB_CONFIG", folder.write("config.json", configurationText(config))}},
                    -1});
-  if (!awaitReady(config.listen, 10)) return kCouldNotRun;
+  if (!awaitReady(config.listen, 10)) finish(kCouldNotRun);
 
   const std::vector<std::size_t> rates =
       test.trouble ? std::vector<std::size_t>{64'000, 128'000, 192'000} : std::vector<std::size_t>{0, 0, 0};
@@ -87,5 +87,5 @@
     clients.emplace_back([&, rate] { cut += !readAnswer(config.listen, rate); });
   for (std::thread& client : clients) client.join();
   RECORD("answers cut off: %d of %zu", cut.load(), rates.size());
-  return cut > 0 ? kBroken : kHeld;
+  finish(cut > 0 ? kBroken : kHeld);
 }
--- a/review/support-2/stand_ins.hpp
+++ b/review/support-2/stand_ins.hpp
@@ -79,6 +79,46 @@
 };
 #define RECORD(...) review::Record::instance().line(__VA_ARGS__)
 
+// --- The end
+
+// What a test has to leave behind in order: its children ended, its folders removed.
+class Cleanup {
+ public:
+  static Cleanup& instance() {
+    static auto* const cleanup = new Cleanup;  // outlives every thread
+    return *cleanup;
+  }
+  void addChild(pid_t child) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    children_.insert(child);
+  }
+  void removeChild(pid_t child) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    children_.erase(child);
+  }
+  void addFolder(const std::string& folder) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    folders_.insert(folder);
+  }
+  // Ends the program without waiting for the threads of stand-ins.
+  [[noreturn]] void finish(int code) {
+    mutex_.lock();  // for good: the first caller's code counts
+    for (const pid_t child : children_) {
+      ::kill(child, SIGKILL);
+      ::waitpid(child, nullptr, 0);
+    }
+    std::error_code ignored;
+    for (const std::string& folder : folders_) std::filesystem::remove_all(folder, ignored);
+    std::_Exit(code);
+  }
+
+ private:
+  std::mutex mutex_;
+  std::set<pid_t> children_;
+  std::set<std::string> folders_;
+};
+[[noreturn]] inline void finish(int code) { Cleanup::instance().finish(code); }
+
 // --- Sockets
 
 inline sockaddr_in loopback(int port) {
@@ -430,17 +470,14 @@
          R"(","zones":["brasov","cluj"]}})" + "\n";
 }
 
-// A new folder that is removed at the end of the program.
+// A new folder that is removed by `finish`.
 class TemporaryFolder {
  public:
   TemporaryFolder() {
     const char* const base = std::getenv("TMPDIR");
     path_ = std::string(base && *base ? base : "/tmp") + "/finchstile-review-XXXXXX";
-    if (!::mkdtemp(path_.data())) std::exit(kCouldNotRun);
-  }
-  ~TemporaryFolder() {
-    std::error_code ignored;
-    std::filesystem::remove_all(path_, ignored);
+    if (!::mkdtemp(path_.data())) finish(kCouldNotRun);
+    Cleanup::instance().addFolder(path_);
   }
   std::string operator/(const std::string& name) const { return path_ + "/" + name; }
   std::string write(const std::string& name, const std::string& text) const {
@@ -465,7 +502,7 @@
   return "";
 }
 
-// A program under test as a child process. It is killed at the latest when the test ends.
+// A program under test as a child process. It is killed at the latest when the test ends, by `finish`.
 class Process {
  public:
   struct Options {
@@ -476,6 +513,7 @@
   explicit Process(const Options& o) {
     const pid_t parent = ::getpid();
     pid_ = ::fork();
+    if (pid_ > 0) Cleanup::instance().addChild(pid_);
     if (pid_ != 0) return;
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent) ::_exit(kCouldNotRun);
@@ -495,6 +533,7 @@
   }
   ~Process() {
     if (pid_ <= 0 || exitStatus()) return;
+    Cleanup::instance().removeChild(pid_);
     ::kill(pid_, SIGKILL);
     ::waitpid(pid_, nullptr, 0);
   }
@@ -505,8 +544,9 @@
   // Nothing while the process runs.
   std::optional<int> exitStatus() {
     int status = 0;
-    if (!status_ && ::waitpid(pid_, &status, WNOHANG) == pid_) status_ = status;
-    return status_;
+    if (status_ || ::waitpid(pid_, &status, WNOHANG) != pid_) return status_;
+    Cleanup::instance().removeChild(pid_);
+    return status_ = status;
   }
 
  private:
@@ -546,7 +586,7 @@
 }
 
 // Prepares a test: `arguments` are the repository's root and the folder of the case. Ends the program with
-// kCouldNotRun after `seconds` at the latest; children end with it.
+// kCouldNotRun after `seconds` at the latest. Every test ends by `finish`.
 struct Test {
   Test(int argc, char** argv, int seconds)
       : root(argc > 1 ? argv[1] : "."), folder(argc > 2 ? argv[2] : ".") {
@@ -556,7 +596,7 @@
     std::thread([seconds] {
       std::this_thread::sleep_for(std::chrono::seconds(seconds));
       RECORD("the test took longer than %d s", seconds);
-      ::_exit(kCouldNotRun);
+      finish(kCouldNotRun);
     }).detach();
     const char* const value = std::getenv("TROUBLE");
     trouble = !value || std::string(value) != "0";
