A long answer without a length is passed on while its host is still writing it

Cause: an answer whose length is not known was held until 64 KiB of it had come, and meanwhile the attempt's deadline and the limit on pauses of short answers applied to it.

Change: an answer that is still arriving at the deadline, or has been held for 1 s, counts as long and is passed on from its next bytes; its pauses may last 0.5 s. This works because the bytes themselves show that the host is writing; an answer that stalls fails as before.

--- a/src/net/attempt_manager.cpp
+++ b/src/net/attempt_manager.cpp
@@ -15,6 +15,9 @@
 using load_balancing::RequestId;
 using std::chrono::milliseconds;
 
+// How long the next bytes of a response without a length may take after the attempt's deadline.
+constexpr Duration kMaxTimeToNextBytes = milliseconds(500);
+
 // Response head of RFC 9110, 15.2.2, with the given additional header lines.
 std::string switchingProtocolsHead(const std::vector<HeaderLine>& headers) {
   std::string head = "HTTP/1.1 101 Switching Protocols\r\n";
@@ -160,11 +163,21 @@
 
 void AttemptManager::settleExpired(Time now) {
   while (const auto id = table_.firstExpired(now)) {
+    if (extendDeadline(*id, now)) continue;
     const bool lastByteSent = pool_.abandonAttempt(*id);
     settle(*id, lastByteSent ? Outcome::timeout : Outcome::connectFailed, {}, {}, true);
   }
 }
 
+// A response that is arriving without a length is given more time once: if it goes on, it is relayed from there.
+bool AttemptManager::extendDeadline(AttemptId id, Time now) {
+  Attempt* const attempt = table_.find(id);
+  const ActiveRequest* const request = requestOf(id);
+  if (!attempt || !request || request->finished || !pool_.relayNextBytes(id)) return false;
+  table_.setDeadline(id, *attempt, now + kMaxTimeToNextBytes);
+  return true;
+}
+
 bool AttemptManager::onResponseHeaders(AttemptId id) {
   Attempt* const attempt = table_.find(id);
   if (!attempt) return false;
--- a/src/net/attempt_manager.hpp
+++ b/src/net/attempt_manager.hpp
@@ -78,6 +78,7 @@
 
  private:
   ActiveRequest* requestOf(AttemptId id);
+  bool extendDeadline(AttemptId id, Time now);
   UpstreamRequest composeMessage(const ActiveRequest& request, const UpstreamHost& host,
                                  std::chrono::milliseconds timeLeft) const;
   void observeHost(UpstreamHost& host, load_balancing::Outcome outcome, Time sentAt, bool timedOut) const;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -21,6 +21,10 @@
 
 // Maximum time without progress in the middle of a body, in either direction.
 constexpr Duration kMaxBodyStall = std::chrono::seconds(5);
+// The pieces of a long response may be far apart.
+constexpr Duration kMaxPauseOfUnknownLength = std::chrono::milliseconds(500);
+// How long the beginning of a response without a length is held back.
+constexpr Duration kMaxBufferingTime = std::chrono::seconds(1);
 constexpr int kMaxInterimResponses = 8;  // 1xx responses before the final one
 
 // Number of round trips for which the last byte is held back; the second one is for the time that the peer
@@ -86,7 +90,7 @@
   attempt_ = attempt;
   reader_.restart();
   interimResponses_ = 0;
-  relaying_ = false;
+  relaying_ = relaysNextBytes_ = false;
   bodyIncomplete_ = !request.bodyComplete;
   upgradeRequested_ = request.upgrade;
   lastByteSent_ = false;
@@ -203,6 +207,7 @@
   for (;;) switch (reader_.step(buffer_, error)) {
       case Step::malformed: return failResponse();
       case Step::head:
+        responseHeadAt_ = pool_.clock_.now();
         if (reader_.parser().get().result_int() >= 200) pool_.callbacks_.onResponseHeaders(attempt_);
         if (reader_.parser().get().result() == http::status::switching_protocols)
           return upgradeRequested_ ? onUpgrade() : failResponse();
@@ -210,8 +215,8 @@
         break;
       case Step::needsBytes:
         if (relaying_ && reader_.bufferedBody() > 0) return relayBody(false);
-        if (reader_.bufferedBody() > kMaxBufferedBodyBytes) return beginRelay();
-        watchForStall(relaying_ ? kMaxBodyStall : pool_.limits_.maxResponsePause, Outcome::reset);
+        if (mustRelay()) return beginRelay();
+        watchForStall(maxPause(), Outcome::reset);
         return read();
       case Step::complete:
         stopStallTimer();
@@ -223,6 +228,33 @@
     }
 }
 
+Duration UpstreamConnection::maxPause() {
+  if (relaying_) return kMaxBodyStall;
+  const Duration pause = pool_.limits_.maxResponsePause;
+  return buffersUnknownLength() ? std::max(pause, kMaxPauseOfUnknownLength) : pause;
+}
+
+// Whether a response is buffered of which nobody knows yet if it will be too long for that.
+bool UpstreamConnection::buffersUnknownLength() {
+  return !relaying_ && reader_.isHeadComplete() && !reader_.parser().content_length() &&
+         outcomeOf(reader_.parser().get()) == Outcome::served;
+}
+
+// A long response is not to be cut off because its host writes it slowly. Its length may be unknown, so one
+// that is still arriving when its time for being buffered is over counts as long.
+bool UpstreamConnection::mustRelay() {
+  if (relaying_) return false;
+  if (reader_.bufferedBody() > kMaxBufferedBodyBytes) return true;
+  const bool bufferedForLong = pool_.clock_.now() - responseHeadAt_ > kMaxBufferingTime;
+  return buffersUnknownLength() && (relaysNextBytes_ || bufferedForLong);
+}
+
+bool UpstreamConnection::relayNextBytes() {
+  if (attempt_ == 0 || relaysNextBytes_ || !lastByteSent_ || !buffersUnknownLength()) return false;
+  relaysNextBytes_ = true;
+  return true;
+}
+
 void UpstreamConnection::resumeReading() {
   if (relaying_) parse();
 }
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -33,6 +33,8 @@
   void send(AttemptId attempt, OutgoingRequest&& request, bool verifyConnection);
   /// Sends the next piece of a request body, after `UpstreamCallbacks::onReadyForRequestBody`.
   void sendBody(const std::string& piece, bool last);
+  /// As `UpstreamPool::relayNextBytes`.
+  bool relayNextBytes();
   /// Continues to read a relayed response after its last piece was consumed.
   void resumeReading();
   /// True if the last byte of the request was written or is being written.
@@ -65,6 +67,9 @@
   // Reading.
   void read();
   void parse();
+  Duration maxPause();
+  bool buffersUnknownLength();
+  bool mustRelay();
   void beginRelay();
   void relayBody(bool last);
   void onComplete();
@@ -104,7 +109,9 @@
   boost::beast::flat_buffer buffer_;
   MessageReader<false> reader_;
   int interimResponses_ = 0;
-  bool relaying_ = false;  // the response is relayed piece by piece
+  bool relaying_ = false;         // the response is relayed piece by piece
+  bool relaysNextBytes_ = false;  // a response without a length is not buffered any longer
+  Time responseHeadAt_{};
 };
 
 }  // namespace finchstile
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -85,6 +85,11 @@
   if (UpstreamConnection* const connection = connectionOf(id)) connection->sendBody(piece, last);
 }
 
+bool UpstreamPool::relayNextBytes(AttemptId id) {
+  UpstreamConnection* const connection = connectionOf(id);
+  return connection && connection->relayNextBytes();
+}
+
 void UpstreamPool::resumeReading(AttemptId id) {
   if (UpstreamConnection* const connection = connectionOf(id)) connection->resumeReading();
 }
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -89,6 +89,9 @@
   bool abandonAttempt(AttemptId attempt);
   /// Sends a piece of the request body, after `UpstreamCallbacks::onReadyForRequestBody`.
   void sendBody(AttemptId attempt, std::string&& piece, bool last);
+  /// Relays a response without a length from its next bytes on, although it may still be short enough to be
+  /// buffered. Returns false if no such response has begun, or if it is relayed already.
+  bool relayNextBytes(AttemptId attempt);
   /// Continues to read a relayed response after its last piece was consumed.
   void resumeReading(AttemptId attempt);
   /// Enables or disables pooling of idle connections to a host. While disabled, they are closed instead.
--- /dev/null
+++ b/tests/net/slow_transfers_test.cpp
@@ -0,0 +1,94 @@
+// Long bodies and answers that one side writes or reads slowly: whoever makes progress is served, and every
+// request has its final response in its client's time.
+#include "support/raw_transfer.hpp"
+
+namespace finchstile::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Steady = std::chrono::steady_clock;
+
+struct SlowTransfersTest : BodiesTest {
+  // Calls `step` at once and then after each interval, until it returns false.
+  void repeat(milliseconds interval, const std::function<bool()>& step) {
+    if (!step()) return;
+    timers.push_back(std::make_shared<asio::steady_timer>(io, interval));
+    timers.back()->async_wait([this, interval, step](error_code cancelled) {
+      if (!cancelled) repeat(interval, step);
+    });
+  }
+  void runFor(milliseconds time) {
+    io.restart();
+    io.run_for(time);
+  }
+  // Waits until the host has a request that ends with `end`, and returns its connection.
+  std::shared_ptr<tcp::socket> awaitRequest(const std::string& end) {
+    until([&] {
+      const std::string& bytes = rawHost->requestBytes;
+      return bytes.size() > end.size() && bytes.compare(bytes.size() - end.size(), end.size(), end) == 0;
+    });
+    return rawHost->sockets.back();
+  }
+  // Starts with a host that reads nothing until the test does so.
+  void startWithUnreadHost(int receiveBufferBytes) {
+    rawHost = std::make_unique<RawHost>(io);
+    rawHost->reading = false;
+    rawHost->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+    startWithRawHost();
+  }
+  std::vector<std::shared_ptr<asio::steady_timer>> timers;
+};
+
+// Guards against a long answer without a length that is cut off at the latency objective, although its host
+// is still writing it.
+TEST_F(SlowTransfersTest, PassesOnAnswerWithoutLengthThatHostWritesSlowly) {
+  startWithRawHost([](json& c) { c["settings"]["grades"][1]["aimNs"] = 400'000'000; });
+  for (const bool chunked : {true, false}) {
+    rawHost->requestBytes.clear();
+    const auto c = rawClient();
+    c->read();
+    c->send(head("POST", "/book", "Content-Length: 1\r\n") + "x");
+    const auto socket = awaitRequest("\r\n\r\nx");
+    asio::write(*socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n") +
+                                      (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n")));
+    const std::string piece(4000, 'p');
+    int pieces = 0;
+    bool written = false;
+    repeat(milliseconds(62), [&] {
+      error_code error;
+      std::string bytes;
+      if (chunked) appendChunk(bytes, piece);
+      else bytes = piece;
+      if (++pieces == 24 && chunked) bytes += kLastChunk;
+      asio::write(*socket, asio::buffer(bytes), error);
+      written = error || pieces == 24;
+      if (written && !chunked) socket->close();
+      return !written;
+    });
+    ASSERT_TRUE(until([&] { return written; }));
+    ASSERT_EQ(pieces, 24) << "the gateway ended the host's connection";
+    until([&] { return c->ended || c->receivedBytes.find("\r\n0\r\n\r\n") != std::string::npos; });
+    EXPECT_EQ(c->receivedBytes.find("HTTP/1.1 200"), 0u);
+    const auto received = std::count(c->receivedBytes.begin(), c->receivedBytes.end(), 'p');
+    EXPECT_GE(received, 24 * 4000);
+  }
+}
+
+// Guards against waiting for the rest of a broken answer until the client's time is over.
+TEST_F(SlowTransfersTest, FailsAnswerWithoutLengthThatStalls) {
+  startWithRawHost();
+  const auto c = rawClient();
+  c->read();
+  c->send(head("POST", "/book", "Content-Length: 1\r\n") + "x");
+  const auto socket = awaitRequest("\r\n\r\nx");
+  const auto startedAt = Steady::now();
+  asio::write(*socket,
+              asio::buffer(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd")));
+  ASSERT_TRUE(until([&] { return c->receivedBytes.find("\r\n\r\n") != std::string::npos; }));
+  EXPECT_EQ(c->receivedBytes.find("HTTP/1.1 502"), 0u);
+  EXPECT_LT(Steady::now() - startedAt, milliseconds(2400));
+}
+
+}  // namespace
+}  // namespace finchstile::testing
