A long body has its final answer in its client's time, whatever its host takes of it

Cause: the client's time counted from the last byte that the gateway had read. The client's last byte may lie unread in the sockets' buffers while the host takes nothing, and until it was read the attempt had no deadline at all.

Change: the time counts from the last moment at which the last byte can't have been written: the socket was empty, or bytes are missing that its receive queue has room for, or more are missing than buffers hold. A request whose time ends before its last byte is passed on is refused; it has not run.

--- a/src/net/attempt_manager.cpp
+++ b/src/net/attempt_manager.cpp
@@ -37,9 +37,8 @@
   request->attempts.resize(std::max<std::size_t>(request->attempts.size(), action.attempt + 1));
   request->attempts[action.attempt] = id;
   ++request->pendingExchanges;
-  // While the body is incomplete, the client and the host's reading of the body have time limits of their
-  // own. The load balancer's limit starts with the last byte.
-  const Time deadline = request->bodyIncomplete ? Time::max() : now + action.duration;
+  // The load balancer's limit starts with the last byte of the body.
+  const Time deadline = request->bodyIncomplete ? bodyDeadline(*request) : now + action.duration;
   Attempt& attempt = table_.add(
       id, {action.request, action.attempt, action.host, now, deadline, {}, {}, {}, action.sendDeadline, {}});
   const UpstreamHost* const host = hosts_.find(action.host);
@@ -131,18 +130,36 @@
   ActiveRequest* const request = requests_.table().findUnfinished(id);
   if (!request || request->attempts.empty()) return false;
   const AttemptId attemptId = request->attempts.back();
-  if (last) {
-    request->bodyIncomplete = false;
-    if (Attempt* const attempt = table_.find(attemptId)) {
-      const Time now = clock_.now();
-      attempt->sentAt = now;
-      table_.setDeadline(attemptId, *attempt, now + balancer_.onRequestBodyComplete(now, id));
-    }
-  }
+  if (last && !completeRequestBody(id, *request, attemptId)) return true;
   pool_.sendBody(attemptId, std::move(piece), last);
   return last;
 }
 
+// Returns false if the client's time is over. The attempt has ended then, without having run.
+bool AttemptManager::completeRequestBody(RequestId id, ActiveRequest& request, AttemptId attemptId) {
+  request.bodyIncomplete = false;
+  Attempt* const attempt = table_.find(attemptId);
+  if (!attempt) return true;
+  const Time now = clock_.now();
+  const auto client = request.client.lock();
+  const Duration timeout =
+      balancer_.onRequestBodyComplete(now, id, client ? client->lastByteNotBefore() : now);
+  attempt->sentAt = now;
+  table_.setDeadline(attemptId, *attempt, now + timeout);
+  if (timeout > Duration{}) return true;
+  pool_.abandonAttempt(attemptId);
+  settle(attemptId, Outcome::connectFailed, {}, {}, true);
+  return false;
+}
+
+// An incomplete body has a limit of its own, for its client counts from its last byte, which may have been
+// written already although the host has not taken the bytes before it.
+Time AttemptManager::bodyDeadline(const ActiveRequest& request) const {
+  const auto client = request.client.lock();
+  const Time writtenAt = client ? client->lastByteNotBefore() : request.arrivedAt;
+  return writtenAt + request.timeLeft - config_.settings.eventInterval;
+}
+
 void AttemptManager::cancel(const load_balancing::Action& action) {
   const ActiveRequest* const request = requests_.table().find(action.request);
   if (!request || action.attempt >= request->attempts.size()) return;
@@ -169,12 +186,17 @@
   }
 }
 
-// A response that is arriving without a length is given more time once: if it goes on, it is relayed from there.
+// The deadline moves while the client is still sending its body, and once for a response that is arriving
+// without a length: if it goes on, it is relayed from there.
 bool AttemptManager::extendDeadline(AttemptId id, Time now) {
   Attempt* const attempt = table_.find(id);
   const ActiveRequest* const request = requestOf(id);
-  if (!attempt || !request || request->finished || !pool_.relayNextBytes(id)) return false;
-  table_.setDeadline(id, *attempt, now + kMaxTimeToNextBytes);
+  if (!attempt || !request || request->finished) return false;
+  Time deadline = now;
+  if (request->bodyIncomplete) deadline = bodyDeadline(*request);
+  else if (pool_.relayNextBytes(id)) deadline = now + kMaxTimeToNextBytes;
+  if (deadline <= now) return false;
+  table_.setDeadline(id, *attempt, deadline);
   return true;
 }
 
--- a/src/net/attempt_manager.hpp
+++ b/src/net/attempt_manager.hpp
@@ -78,6 +78,8 @@
 
  private:
   ActiveRequest* requestOf(AttemptId id);
+  bool completeRequestBody(load_balancing::RequestId id, ActiveRequest& request, AttemptId attemptId);
+  Time bodyDeadline(const ActiveRequest& request) const;
   bool extendDeadline(AttemptId id, Time now);
   UpstreamRequest composeMessage(const ActiveRequest& request, const UpstreamHost& host,
                                  std::chrono::milliseconds timeLeft) const;
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -29,6 +30,11 @@
 // unresponsive.
 constexpr double kMinBodyBytesPerSecond = 32 * 1024;
 
+// The sender's window is still open while less than this part of the receive buffer is used.
+constexpr std::size_t kMinReceiveBufferShare = 4;
+// Bytes that a client has written can be buffered between it and this process up to this number.
+constexpr std::size_t kMaxBytesInTransit = std::size_t{16} * 1024 * 1024;
+
 // Sent at once on a connection for which there is no capacity. Refusing is safe, since nothing of a request
 // was passed on.
 constexpr std::string_view kServiceUnavailableResponse =
@@ -91,7 +97,8 @@
   const std::size_t buffered = buffer_.size();
   if (readsAhead && buffered >= kMaxReadAheadBytes) return;  // checkForDisconnect detects the close
   error_code error;
-  receive(readsAhead ? kMaxReadAheadBytes - buffered : kMaxReadBytes, error);
+  const std::size_t maxBytes = readsAhead ? kMaxReadAheadBytes - buffered : kMaxReadBytes;
+  inputDrained_ = receive(maxBytes, error) < maxBytes;
   if (error == asio::error::would_block || error == asio::error::try_again) return awaitBytes();
   if (error) return close();
   if (readsAhead) return awaitBytes();
@@ -152,6 +159,7 @@
   bodyReadRequested_ = false;
   bodyPausedTime_ = {};
   bodyPausedSince_ = stateSince_;
+  lastByteNotBefore_ = stateSince_;
   const auto self = shared_from_this();
   listener_.callbacks_.onClientRequest(self, std::move(request), bodyComplete);
   if (state_ == State::waiting && !bodyIncomplete_) awaitBytes();
@@ -171,6 +179,7 @@
   const Step step = reader_.step(buffer_, error);
   // The request was already passed on, and the client would take an error status for the response to it.
   if (step == Step::malformed) return close();
+  if (step != Step::complete && inputDrained_) lastByteNotBefore_ = listener_.clock_.now();
   if (step == Step::needsBytes && reader_.bufferedBody() == 0) return awaitBytes();
   bodyIncomplete_ = step != Step::complete;
   bodyReadRequested_ = false;
@@ -180,6 +189,25 @@
   if (state_ == State::waiting && !bodyIncomplete_) awaitBytes();
 }
 
+Time ClientSession::lastByteNotBefore() {
+  if (bodyIncomplete_ && !mayHaveWrittenLastByte()) lastByteNotBefore_ = listener_.clock_.now();
+  return lastByteNotBefore_;
+}
+
+// Bytes that the client has written may be in this socket's receive queue or, once that is full, in buffers
+// on the way to it. Without a length only an empty queue shows that the last byte is not among them.
+bool ClientSession::mayHaveWrittenLastByte() {
+  if (state_ == State::closed) return true;
+  const std::size_t unread = unreadBytes(socket_);
+  if (unread == 0) return false;
+  const auto length = reader_.parser().content_length();
+  if (!length) return true;
+  const std::uint64_t missing =
+      *length - std::min<std::uint64_t>(*length, reader_.bodyRead() + buffer_.size());
+  const bool queueHasRoom = unread < receiveBufferBytes(socket_) / kMinReceiveBufferShare;
+  return missing <= unread || (!queueHasRoom && missing <= kMaxBytesInTransit);
+}
+
 // --- Writing
 
 void ClientSession::respond(Response&& response) {
--- a/src/net/client_session.hpp
+++ b/src/net/client_session.hpp
@@ -15,6 +15,7 @@
 #include "net/client_messages.hpp"
 #include "net/clock.hpp"
 #include "net/framing.hpp"
+#include "net/socket_queues.hpp"
 
 namespace finchstile {
 
@@ -69,6 +70,10 @@
   void respond(Response&& response);
   /// Requests the next piece of the request body.
   void readBody();
+  /// The latest known time at which the client had not written the last byte of its request. The client's
+  /// time counts from its last byte, which may lie unread in the socket's buffers while its host takes no
+  /// more.
+  Time lastByteNotBefore();
   /// Writes a piece of a partial response. The next one may follow after `onResponseWritten`.
   void writeBody(std::string&& piece, bool last);
   /// Ends a partial response in a way that lets the client detect the truncation.
@@ -97,6 +102,7 @@
   void parseRequest();
   void onRequestParsed(bool bodyComplete);
   void parseBody();
+  bool mayHaveWrittenLastByte();
   void writeContinue();
   // Writing.
   void writeHead(const Response& response, std::optional<std::uint64_t> length);
@@ -135,7 +141,8 @@
   bool bodyIncomplete_ = false;     // more of the body of the passed-on request is to be read
   bool bodyReadRequested_ = false;  // `readBody` was called and its piece was not delivered yet
   Duration bodyPausedTime_{};       // total time without a requested piece; not counted against the client
-  Time bodyPausedSince_{}, lastByteAt_{};
+  Time bodyPausedSince_{}, lastByteAt_{}, lastByteNotBefore_{};
+  bool inputDrained_ = false;  // the last read left nothing unread in the socket
   bool awaitingBytes_ = false;
   bool writingContinue_ = false;  // the 100 Continue response is being written
   std::size_t discardedBytes_ = 0;
--- a/src/policy/load_balancer.cpp
+++ b/src/policy/load_balancer.cpp
@@ -108,19 +108,19 @@
     if (!route(request)) rejectOrFail(request);
   }
 
-  Duration onRequestBodyComplete(RequestId id) {
+  Duration onRequestBodyComplete(RequestId id, Time writtenAt) {
     ActiveRequest* request = find(id);
     if (!request || !std::exchange(request->isBodyIncomplete, false)) return {};
     if (request->hasEnded || request->pendingAttempts == 0) return {};
-    // A body that arrives slowly must not count as load or make the host look slow or unresponsive, so times
-    // are counted from now.
-    request->objectiveAt += now - request->arrivedAt;
-    request->deadline += now - request->arrivedAt;
+    // A body that arrives slowly must not count as load or make the host look slow or unresponsive, so the
+    // host's time counts from now. The client counts from its last byte, which may have waited unread.
+    request->deadline += std::clamp(writtenAt, request->arrivedAt, now) - request->arrivedAt;
+    request->objectiveAt = std::min(request->objectiveAt + (now - request->arrivedAt), request->deadline);
     timers.add(request->deadline - settings.eventInterval, id);
     Attempt& attempt = request->attempts[request->attemptCount - 1];
     attempt.sentAt = now;
     inFlight.begin(hosts, id, attempt);
-    return retries.attemptTimeout(*request, now);
+    return std::max(retries.attemptTimeout(*request, now), Duration{});
   }
 
   // A response that is long or is transferred slowly is not load of the host. If counted, it would use up the
@@ -518,9 +518,9 @@
 void LoadBalancer::onRequest(Time now, const Request& request) {
   impl_->handle(now, [&](Impl& impl) { impl.onRequest(request); });
 }
-Duration LoadBalancer::onRequestBodyComplete(Time now, RequestId request) {
+Duration LoadBalancer::onRequestBodyComplete(Time now, RequestId request, Time writtenAt) {
   Duration attemptTimeout{};
-  impl_->handle(now, [&](Impl& impl) { attemptTimeout = impl.onRequestBodyComplete(request); });
+  impl_->handle(now, [&](Impl& impl) { attemptTimeout = impl.onRequestBodyComplete(request, writtenAt); });
   return attemptTimeout;
 }
 void LoadBalancer::onResponseHeaders(Time now, RequestId request, std::uint32_t attempt) {
--- a/tests/net/slow_transfers_test.cpp
+++ b/tests/net/slow_transfers_test.cpp
@@ -90,5 +90,46 @@
   EXPECT_LT(Steady::now() - startedAt, milliseconds(2400));
 }
 
+// Guards against a final response that comes seconds after the client's time, because the client's last byte
+// lies unread while the host does not take the body.
+TEST_F(SlowTransfersTest, RefusesBodyInClientsTimeWhileHostTakesNothing) {
+  startWithUnreadHost(64 * 1024);
+  for (const bool chunked : {false, true}) {
+    const auto c = rawClient();
+    c->read();
+    std::string body = pseudoRandomBytes(6'000'000);
+    if (chunked) {
+      std::string framed;
+      appendChunk(framed, body);
+      body = framed + std::string(kLastChunk);
+    }
+    c->send(head("POST", "/book", chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: 6000000\r\n",
+                 1000) +
+            body);
+    ASSERT_TRUE(until([&] { return !c->writing; }));
+    const auto writtenAt = Steady::now();
+    ASSERT_TRUE(until([&] { return c->receivedBytes.find("\r\n\r\n") != std::string::npos || c->ended; }));
+    EXPECT_EQ(c->receivedBytes.find("HTTP/1.1 503"), 0u);  // it can't have run
+    EXPECT_LT(Steady::now() - writtenAt, milliseconds(1000 + 500));
+  }
+  EXPECT_EQ(gateway->metrics().attemptsSent, 0u);
+}
+
+// Guards against a body that counts as fresh once its host has taken it, although its client's time is over.
+TEST_F(SlowTransfersTest, CountsTimeInWhichHostTakesBodySlowly) {
+  startWithUnreadHost(1024 * 1024);
+  const auto c = rawClient();
+  c->read();
+  c->send(head("POST", "/book", "Content-Length: 6000000\r\n", 1500) + pseudoRandomBytes(6'000'000));
+  ASSERT_TRUE(until([&] { return !c->writing && !rawHost->sockets.empty(); }));
+  const auto writtenAt = Steady::now();
+  runFor(milliseconds(900));
+  rawHost->read(rawHost->sockets[0]);  // the host takes all of it now and never answers
+  ASSERT_TRUE(until([&] { return c->receivedBytes.find("\r\n\r\n") != std::string::npos || c->ended; }));
+  EXPECT_EQ(rawHost->requestBytes.size() > 6'000'000, true);
+  EXPECT_EQ(c->receivedBytes.find("HTTP/1.1 502"), 0u);
+  EXPECT_LT(Steady::now() - writtenAt, milliseconds(1500 + 500));
+}
+
 }  // namespace
 }  // namespace finchstile::testing
--- a/tests/policy/incomplete_body_test.cpp
+++ b/tests/policy/incomplete_body_test.cpp
@@ -23,7 +23,7 @@
   EXPECT_EQ(d.sent.size(), 1u);
   EXPECT_TRUE(d.refused(id));  // the attempt never ran
   const RequestId completed = sendIncomplete(d, 1);
-  d.balancer.onRequestBodyComplete(d.now, completed);
+  d.balancer.onRequestBodyComplete(d.now, completed, d.now);
   d.settle(d.lastSent(), Outcome::reset, false);
   EXPECT_TRUE(d.failed(completed));
   EXPECT_EQ(d.sent.size(), 2u);
@@ -34,14 +34,14 @@
   const RequestId id = sendIncomplete(d, 0);
   d.advance(seconds(5));  // several times the client's timeout
   EXPECT_FALSE(d.refused(id) || d.failed(id));
-  const Duration timeout = d.balancer.onRequestBodyComplete(d.now, id);
+  const Duration timeout = d.balancer.onRequestBodyComplete(d.now, id, d.now);
   d.collect();
   EXPECT_GT(timeout, Duration{});
   EXPECT_LE(timeout, milliseconds(400));  // within the objective, counted from now
-  EXPECT_EQ(d.balancer.onRequestBodyComplete(d.now, id), Duration{});  // a second call has no effect
+  EXPECT_EQ(d.balancer.onRequestBodyComplete(d.now, id, d.now), Duration{});  // a second call has no effect
   d.advance(milliseconds(1100));
   EXPECT_TRUE(d.refused(id));  // idempotent, so a retry is harmless
-  EXPECT_EQ(d.balancer.onRequestBodyComplete(d.now, 999), Duration{});
+  EXPECT_EQ(d.balancer.onRequestBodyComplete(d.now, 999, d.now), Duration{});
 }
 
 TEST(IncompleteBody, SlowBodiesAreNeitherLoadNorSignOfUnresponsiveHosts) {
@@ -51,7 +51,7 @@
   d.advance(seconds(3));
   EXPECT_EQ(d.balancer.admissionCutoff(), 0);
   for (int i = 0; i < 6; ++i) EXPECT_FALSE(d.balancer.isAvoided(d.host(i))) << i;
-  for (RequestId id = d.last - 299; id <= d.last; ++id) d.balancer.onRequestBodyComplete(d.now, id);
+  for (RequestId id = d.last - 299; id <= d.last; ++id) d.balancer.onRequestBodyComplete(d.now, id, d.now);
   d.collect();
   d.advance(milliseconds(200));
   EXPECT_GT(d.balancer.admissionCutoff(), 90);  // with complete bodies they are load
