A client that reads slowly, or a host that takes a body slowly, is not cut off

Cause: the limits for who takes nothing measured the time between two writes that the socket accepts, which is the time that the peer takes for a third of the send buffer: megabytes.

Change: progress is what the peer's system has acknowledged (SIOCOUTQ), looked at each 250 ms for client connections whose write waits and each second for a host that takes a body.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -278,20 +278,27 @@
   close();
 }
 
-// The write timeout restarts after every partial write: a slow client is served, and only one that reads
-// nothing is disconnected.
+// The write timeout restarts after every partial write, and whenever the client has acknowledged more bytes:
+// a slow client is served, and only one that reads nothing is disconnected.
 void ClientSession::write() {
   const auto unwritten = asio::buffer(output_.data() + outputWritten_, output_.size() - outputWritten_);
   socket_.async_write_some(unwritten, [this, self = shared_from_this()](error_code error, std::size_t bytes) {
     if (state_ == State::closed) return;
     if (error) return close();
     outputWritten_ += bytes;
+    writeProgress_.reset();
     if (outputWritten_ == output_.size()) return onWritten();
     enter(State::writing);
     write();
   });
 }
 
+// The socket takes further bytes only when much of its send buffer is free, which a slow client may need many
+// seconds for.
+void ClientSession::noteWriteProgress() {
+  if (writeProgress_.advanced(unacknowledgedBytes(socket_))) enter(State::writing);
+}
+
 void ClientSession::onWritten() {
   output_.clear();
   outputWritten_ = 0;
--- a/src/net/client_session.hpp
+++ b/src/net/client_session.hpp
@@ -108,6 +108,7 @@
   void writeHead(const Response& response, std::optional<std::uint64_t> length);
   void write();
   void onWritten();
+  void noteWriteProgress();
   // Refusing.
   void refuse(boost::beast::http::status status);
   void refuseInput(boost::system::error_code error);
@@ -150,6 +151,7 @@
   // The response.
   std::string output_;  // bytes from `outputWritten_` on are still to be written
   std::size_t outputWritten_ = 0;
+  AcknowledgementProgress writeProgress_;
   RelayId relay_ = 0;  // 0 if the response is not relayed
   bool morePiecesFollow_ = false;
   bool chunked_ = false;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -202,6 +202,7 @@
 }
 
 void Listener::sweep() {
+  forEachIn(State::writing, [](ClientSession& session) { session.noteWriteProgress(); });
   for (const State state : {State::idle, State::writing, State::lingering}) sweepExpired(state);
   for (const State state : {State::fresh, State::reading, State::waiting})
     forEachIn(state, [](ClientSession& session) {
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -21,6 +21,8 @@
 
 // Maximum time without progress in the middle of a body, in either direction.
 constexpr Duration kMaxBodyStall = std::chrono::seconds(5);
+// How often a write that waits is checked for progress.
+constexpr Duration kWriteProgressInterval = std::chrono::seconds(1);
 // The pieces of a long response may be far apart.
 constexpr Duration kMaxPauseOfUnknownLength = std::chrono::milliseconds(500);
 // How long the beginning of a response without a length is held back.
@@ -127,7 +129,7 @@
 
 void UpstreamConnection::write(std::size_t from, std::size_t to) {
   lastByteSent_ = !bodyIncomplete_ && to == request_.size();
-  if (bodyIncomplete_) watchForStall(kMaxBodyStall, Outcome::connectFailed);
+  if (bodyIncomplete_) watchForWriteStall();
   asio::async_write(socket_, asio::buffer(request_.data() + from, to - from),
                     [this, self = shared_from_this(), to](error_code error, std::size_t) {
                       if (closed_) return;
@@ -345,6 +347,25 @@
   });
 }
 
+// A host that reads slowly makes progress long before the socket takes the next bytes.
+void UpstreamConnection::watchForWriteStall() {
+  if (std::exchange(stallTimerSet_, true)) return;
+  writeProgress_.reset();
+  writeProgressAt_ = pool_.clock_.now();
+  awaitWriteProgress();
+}
+
+void UpstreamConnection::awaitWriteProgress() {
+  timer_.expires_after(kWriteProgressInterval);
+  timer_.async_wait([this, self = shared_from_this()](error_code cancelled) {
+    if (cancelled || closed_ || !stallTimerSet_) return;
+    const Time now = pool_.clock_.now();
+    if (writeProgress_.advanced(unacknowledgedBytes(socket_))) writeProgressAt_ = now;
+    if (now - writeProgressAt_ >= kMaxBodyStall) return endAttempt(Outcome::connectFailed);
+    awaitWriteProgress();
+  });
+}
+
 void UpstreamConnection::stopStallTimer() {
   if (std::exchange(stallTimerSet_, false)) timer_.cancel();
 }
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -10,6 +10,7 @@
 #include "finchstile/load_balancer.hpp"
 #include "net/clock.hpp"
 #include "net/framing.hpp"
+#include "net/socket_queues.hpp"
 #include "net/upstream_messages.hpp"
 #include "net/upstream_pool.hpp"
 
@@ -77,6 +78,8 @@
 
   // Ending.
   void watchForStall(Duration limit, load_balancing::Outcome outcome);
+  void watchForWriteStall();
+  void awaitWriteProgress();
   void stopStallTimer();
   void failResponse();
   void endAttempt(load_balancing::Outcome outcome);
@@ -112,6 +115,8 @@
   bool relaying_ = false;         // the response is relayed piece by piece
   bool relaysNextBytes_ = false;  // a response without a length is not buffered any longer
   Time responseHeadAt_{};
+  AcknowledgementProgress writeProgress_;
+  Time writeProgressAt_{};
 };
 
 }  // namespace finchstile
--- a/tests/net/slow_transfers_test.cpp
+++ b/tests/net/slow_transfers_test.cpp
@@ -131,5 +131,61 @@
   EXPECT_LT(Steady::now() - writtenAt, milliseconds(1500 + 500));
 }
 
+// Guards against the end of a host's connection that takes a long body steadily, because the socket takes no
+// further bytes for longer than a stall may last.
+TEST_F(SlowTransfersTest, WaitsForHostThatTakesLongBodySteadily) {
+  startWithUnreadHost(64 * 1024);
+  const auto c = rawClient();
+  c->read();
+  c->send(head("POST", "/book", "Content-Length: 32000000\r\n") + pseudoRandomBytes(32'000'000));
+  ASSERT_TRUE(until([&] { return !rawHost->sockets.empty(); }));
+  const auto socket = rawHost->sockets[0];
+  socket->non_blocking(true);
+  std::string piece(16 * 1024, '\0');
+  bool ended = false;
+  repeat(milliseconds(100), [&] {
+    error_code error;
+    socket->read_some(asio::buffer(piece), error);
+    ended = error && error != asio::error::would_block;
+    return !ended;
+  });
+  runFor(seconds(8));
+  EXPECT_FALSE(ended);
+  EXPECT_FALSE(c->ended);
+}
+
+// Guards against the end of a client that reads steadily, because the socket takes no further bytes for
+// longer than a client may pause. A client that takes nothing is still disconnected.
+TEST_F(SlowTransfersTest, ServesClientThatReadsSlowlyButNotOneThatReadsNothing) {
+  startWithRawHost();
+  GatewayOptions options;
+  options.clients.writeTimeout = milliseconds(600);
+  gateway->setOptions(options);
+  for (const bool reads : {true, false}) {
+    rawHost->requestBytes.clear();
+    rawHost->ended = false;
+    const auto c = rawClient();
+    c->send(head("GET", "/read", ""));
+    const auto socket = awaitRequest("\r\n\r\n");
+    const auto bytes = std::make_shared<std::string>("HTTP/1.1 200 OK\r\nContent-Length: 24000000\r\n\r\n" +
+                                                     std::string(24'000'000, 'p'));
+    asio::async_write(*socket, asio::buffer(*bytes), [bytes](error_code, std::size_t) {});
+    std::size_t received = 0;
+    repeat(milliseconds(20), [&] {
+      if (reads) {
+        c->read(received + 1);  // one piece of at most 4 KiB
+        received = c->receivedBytes.size();
+      }
+      return !c->ended && !rawHost->ended;
+    });
+    runFor(seconds(4));
+    EXPECT_EQ(rawHost->ended, !reads);
+    if (reads) EXPECT_GT(received, 400'000u);
+    for (const auto& timer : timers) timer->cancel();
+    c->socket.close();
+    runFor(milliseconds(50));
+  }
+}
+
 }  // namespace
 }  // namespace finchstile::testing
