A socket that runs empty right behind a wait does not set back a client's time

Cause: a read that emptied the socket counted as proof that the client had not written its last byte. After its host has made the gateway wait, the queue runs empty while the sender's buffer is still full.

Change: such a moment counts only if for 50 ms no bytes had been waiting to be read, and at most 10 MiB are taken to be in buffers. The ioctl for it is made once for each piece of a long body.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -33,7 +33,9 @@
 // The sender's window is still open while less than this part of the receive buffer is used.
 constexpr std::size_t kMinReceiveBufferShare = 4;
 // Bytes that a client has written can be buffered between it and this process up to this number.
-constexpr std::size_t kMaxBytesInTransit = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t kMaxBytesInTransit = std::size_t{10} * 1024 * 1024;
+// A sender fills an open window within this time with what it has buffered.
+constexpr Duration kMinTimeWithoutBacklog = std::chrono::milliseconds(50);
 
 // Sent at once on a connection for which there is no capacity. Refusing is safe, since nothing of a request
 // was passed on.
@@ -98,12 +100,15 @@
   if (readsAhead && buffered >= kMaxReadAheadBytes) return;  // checkForDisconnect detects the close
   error_code error;
   const std::size_t maxBytes = readsAhead ? kMaxReadAheadBytes - buffered : kMaxReadBytes;
-  inputDrained_ = receive(maxBytes, error) < maxBytes;
+  const bool full = receive(maxBytes, error) == maxBytes;
   if (error == asio::error::would_block || error == asio::error::try_again) return awaitBytes();
   if (error) return close();
   if (readsAhead) return awaitBytes();
   lastByteAt_ = listener_.clock_.now();
-  if (bodyIncomplete_) return parseBody();
+  if (bodyIncomplete_) {
+    noteBodyRead(full);
+    return parseBody();
+  }
   if (state_ == State::idle) enter(State::reading);
   requestStarted_ = true;
   parseRequest();
@@ -159,7 +164,7 @@
   bodyReadRequested_ = false;
   bodyPausedTime_ = {};
   bodyPausedSince_ = stateSince_;
-  lastByteNotBefore_ = stateSince_;
+  lastByteNotBefore_ = inputBacklogAt_ = stateSince_;
   const auto self = shared_from_this();
   listener_.callbacks_.onClientRequest(self, std::move(request), bodyComplete);
   if (state_ == State::waiting && !bodyIncomplete_) awaitBytes();
@@ -169,6 +174,7 @@
   if (state_ != State::waiting || !bodyIncomplete_ || std::exchange(bodyReadRequested_, true)) return;
   lastByteAt_ = listener_.clock_.now();
   bodyPausedTime_ += lastByteAt_ - bodyPausedSince_;
+  if (unreadBytes(socket_) > 0) inputBacklogAt_ = lastByteAt_;
   if (buffer_.size() > 0) return parseBody();
   awaitBytes();
 }
@@ -179,7 +185,6 @@
   const Step step = reader_.step(buffer_, error);
   // The request was already passed on, and the client would take an error status for the response to it.
   if (step == Step::malformed) return close();
-  if (step != Step::complete && inputDrained_) lastByteNotBefore_ = listener_.clock_.now();
   if (step == Step::needsBytes && reader_.bufferedBody() == 0) return awaitBytes();
   bodyIncomplete_ = step != Step::complete;
   bodyReadRequested_ = false;
@@ -194,17 +199,26 @@
   return lastByteNotBefore_;
 }
 
+// A client whose bytes have not been waiting for some time is read as fast as it writes, so these bytes were
+// not written much earlier.
+void ClientSession::noteBodyRead(bool full) {
+  if (lastByteAt_ - inputBacklogAt_ >= kMinTimeWithoutBacklog) lastByteNotBefore_ = lastByteAt_;
+  if (full) inputBacklogAt_ = lastByteAt_;
+}
+
 // Bytes that the client has written may be in this socket's receive queue or, once that is full, in buffers
 // on the way to it. Without a length only an empty queue shows that the last byte is not among them.
 bool ClientSession::mayHaveWrittenLastByte() {
   if (state_ == State::closed) return true;
   const std::size_t unread = unreadBytes(socket_);
-  if (unread == 0) return false;
+  const Time queueFilledSince = bodyReadRequested_ ? inputBacklogAt_ : bodyPausedSince_;
+  const bool queueSettled = listener_.clock_.now() - queueFilledSince >= kMinTimeWithoutBacklog;
+  if (unread == 0 && queueSettled) return false;
   const auto length = reader_.parser().content_length();
   if (!length) return true;
   const std::uint64_t missing =
       *length - std::min<std::uint64_t>(*length, reader_.bodyRead() + buffer_.size());
-  const bool queueHasRoom = unread < receiveBufferBytes(socket_) / kMinReceiveBufferShare;
+  const bool queueHasRoom = queueSettled && unread < receiveBufferBytes(socket_) / kMinReceiveBufferShare;
   return missing <= unread || (!queueHasRoom && missing <= kMaxBytesInTransit);
 }
 
--- a/src/net/client_session.hpp
+++ b/src/net/client_session.hpp
@@ -103,6 +103,7 @@
   void onRequestParsed(bool bodyComplete);
   void parseBody();
   bool mayHaveWrittenLastByte();
+  void noteBodyRead(bool full);
   void writeContinue();
   // Writing.
   void writeHead(const Response& response, std::optional<std::uint64_t> length);
@@ -143,7 +144,7 @@
   bool bodyReadRequested_ = false;  // `readBody` was called and its piece was not delivered yet
   Duration bodyPausedTime_{};       // total time without a requested piece; not counted against the client
   Time bodyPausedSince_{}, lastByteAt_{}, lastByteNotBefore_{};
-  bool inputDrained_ = false;  // the last read left nothing unread in the socket
+  Time inputBacklogAt_{};  // when bytes of the body were last found waiting to be read
   bool awaitingBytes_ = false;
   bool writingContinue_ = false;  // the 100 Continue response is being written
   std::size_t discardedBytes_ = 0;
