A head has 256 fields at the most, and a long body's head is held once

What operators saw: with hundreds of clients that send heads of very many short fields a process passes its memory limit and is killed.

Cause: heads are bounded in bytes, but each field becomes an object of about a hundred bytes; while a body was arriving the head was held twice, and the buffer of its first 64 KiB for as long as it arrived. Fields behind the last chunk were not bounded.

Change: fields are counted before they are stored; beyond 256 the answer is 431. The head is moved to the request, and the buffer released once it is written.

SlowTransfersTest.RefusesMessagesWithTooManyFields.

--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -1,5 +1,5 @@
 // Framing of HTTP/1.1 messages: chunked encoding, and a reader on top of Beast's parser that limits the size
-// of the whole head and rejects ambiguous framing.
+// and the number of fields of the whole head and rejects ambiguous framing.
 #pragma once
 
 #include <algorithm>
@@ -24,6 +24,8 @@
 /// Bytes of a relayed body in flight at a time, in each direction.
 inline constexpr std::size_t kMaxPieceBytes = std::size_t{32} * 1024;
 inline constexpr std::size_t kMaxHeadBytes = std::size_t{16} * 1024;
+/// Fields of a head and its trailers together. A field of four bytes takes about a hundred in memory.
+inline constexpr std::size_t kMaxFields = 256;
 /// Bytes read from a socket at a time.
 inline constexpr std::size_t kMaxReadBytes = std::size_t{8} * 1024;
 inline constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeadBytes + kMaxReadBytes;
@@ -79,11 +81,24 @@
   };
 };
 
+/// Beast's parser, with a limit on the number of fields.
+template <bool isRequest>
+class LimitedParser : public boost::beast::http::parser<isRequest, GrowingBody> {
+ private:
+  void on_field_impl(boost::beast::http::field name, boost::beast::string_view nameText,
+                     boost::beast::string_view value, boost::system::error_code& error) override {
+    if (++fields_ > kMaxFields) error = boost::beast::http::error::header_limit;
+    else this->get().insert(name, nameText, value);
+  }
+
+  std::size_t fields_ = 0;
+};
+
 /// Reads one message at a time. `restart` must be called before the first message and between messages.
 template <bool isRequest>
 class MessageReader {
  public:
-  using Parser = boost::beast::http::parser<isRequest, GrowingBody>;
+  using Parser = LimitedParser<isRequest>;
   using Message = boost::beast::http::message<isRequest, boost::beast::http::string_body>;
   enum class Step {
     needsBytes,  ///< The buffer is empty, or holds too little for the next step.
@@ -158,12 +173,11 @@
     takenBytes_ += body.size();
     return body;
   }
-  /// Returns the message with the part of the body that has arrived. If the message is incomplete, more of
+  /// Moves out the message with the part of the body that has arrived. If the message is incomplete, more of
   /// the body may follow.
   Message takeMessage() {
     std::string body = takeBody();
-    Message message =
-        parser_->is_done() ? Message{std::move(parser_->release().base())} : Message{parser_->get().base()};
+    Message message{std::move(parser_->get().base())};
     message.body() = std::move(body);
     return message;
   }
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -142,7 +142,7 @@
 void UpstreamConnection::onWritten(std::size_t to) {
   if (bodyIncomplete_) {
     stopStallTimer();
-    request_.clear();
+    std::string().swap(request_);  // the pieces that follow are smaller
     return requestNextBodyPiece();
   }
   if (to < request_.size()) return verifyThenWrite(to);
--- a/tests/net/slow_transfers_test.cpp
+++ b/tests/net/slow_transfers_test.cpp
@@ -187,5 +187,34 @@
   }
 }
 
+// Guards against heads and trailers of very many short fields, each of which takes many times its bytes.
+TEST_F(SlowTransfersTest, RefusesMessagesWithTooManyFields) {
+  host(serveOk);
+  start();
+  const auto fields = [](std::size_t count) {
+    std::string lines;
+    for (std::size_t i = 0; i < count; ++i) lines += "a:\r\n";
+    return lines;
+  };
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string lastChunk = "1\r\nx\r\n0\r\n";
+  const struct {
+    std::string bytes, status;
+  } cases[] = {
+      {head("GET", "/read", fields(200)), "200"},
+      {head("GET", "/read", fields(kMaxFields)), "431"},
+      {head("POST", "/book", chunked) + lastChunk + fields(200) + "\r\n", "200"},
+      {head("POST", "/book", chunked) + lastChunk + fields(kMaxFields) + "\r\n", "431"},
+  };
+  for (const auto& c : cases) {
+    const auto sender = rawClient();
+    sender->read();
+    sender->send(c.bytes);
+    ASSERT_TRUE(until([&] { return sender->receivedBytes.find("\r\n\r\n") != std::string::npos; }));
+    EXPECT_EQ(sender->receivedBytes.substr(0, 12), "HTTP/1.1 " + c.status);
+  }
+  EXPECT_EQ(received(), 2u);
+}
+
 }  // namespace
 }  // namespace finchstile::testing
