An id does not run twice after its client has left, and such a client's body ends

What operators saw: an id ran twice when it came again after its client had left; requests were kept for clients that had closed with much unread.

Cause: the id of a request was free again as soon as its client had left, although its host might still be executing it. A client whose body is not being read, because its host takes nothing, showed its close only at the next read.

Measured: SlowTransfersTest.RefusesIdThatComesAgainAfterItsClientHasLeft fails before (two executions) and passes. A request that is executed after its client left with bytes unread was not seen before.

--- /dev/null
+++ b/src/net/abandoned_ids.hpp
@@ -0,0 +1,46 @@
+// Correlation ids of requests whose clients left while a host may have been executing them.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <utility>
+
+#include "net/clock.hpp"
+
+namespace finchstile {
+
+/// A request that arrives with such an id again would be executed twice. Ids are forgotten after a time, and
+/// the oldest ones if there are too many. No I/O.
+class AbandonedIds {
+ public:
+  static constexpr Duration kKeepTime = std::chrono::minutes(1);
+  static constexpr std::size_t kMaxIds = 16384;
+
+  void add(std::string_view id, Time now) {
+    if (!ids_.emplace(id).second) return;
+    order_.emplace_back(now, id);
+    if (order_.size() > kMaxIds) removeOldest();
+  }
+
+  bool contains(std::string_view id, Time now) {
+    while (!order_.empty() && order_.front().first + kKeepTime <= now) removeOldest();
+    return !ids_.empty() && ids_.count(std::string(id)) > 0;
+  }
+
+  std::size_t size() const { return ids_.size(); }
+
+ private:
+  void removeOldest() {
+    ids_.erase(order_.front().second);
+    order_.pop_front();
+  }
+
+  std::unordered_set<std::string> ids_;
+  std::deque<std::pair<Time, std::string>> order_;
+};
+
+}  // namespace finchstile
--- a/src/net/active_request.hpp
+++ b/src/net/active_request.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "finchstile/load_balancer.hpp"
+#include "net/abandoned_ids.hpp"
 #include "net/client_messages.hpp"
 #include "net/client_session.hpp"
 #include "net/clock.hpp"
@@ -36,6 +37,8 @@
   /// Null if no filter is attached, and after the request has finished.
   std::unique_ptr<RequestContext> context;
   bool mayHaveRun = false;  ///< At least one ended attempt may have been executed by a host.
+  bool clientLeft = false;  ///< The client disconnected before it had the whole response.
+  bool repeatable = false;  ///< Executing the request twice is harmless.
   Time arrivedAt{};
   Duration timeLeft{};  ///< How long the client waits for the response, counted from `arrivedAt`.
   unsigned responseStatus = 0;
@@ -50,10 +53,10 @@
 /// Owns the active requests and rejects the correlation id of an active request if another request uses it.
 class ActiveRequestTable {
  public:
-  /// Returns false if a request with this correlation id is active. A host would treat the second request as
-  /// a repetition of the first.
-  bool reserveCorrelationId(std::string_view correlationId) {
-    return correlationIds_.emplace(correlationId).second;
+  /// Returns false if a request with this correlation id is active, or if one may have been executed whose
+  /// client left without its response. A host would treat the second request as a repetition of the first.
+  bool reserveCorrelationId(std::string_view correlationId, Time now) {
+    return !abandonedIds_.contains(correlationId, now) && correlationIds_.emplace(correlationId).second;
   }
   load_balancing::RequestId newId() { return ++lastId_; }
   /// Adds an empty request. The reference stays valid until the request is released.
@@ -71,6 +74,7 @@
 
  private:
   std::unordered_set<std::string> correlationIds_;
+  AbandonedIds abandonedIds_;
   std::unordered_map<load_balancing::RequestId, ActiveRequest> requests_;
   load_balancing::RequestId lastId_ = 0;
 };
--- a/src/net/attempt_manager.cpp
+++ b/src/net/attempt_manager.cpp
@@ -114,10 +114,14 @@
 }
 
 // Without cancellation of attempts the host would otherwise start one whose request has finished.
-bool AttemptManager::maySendLastByte(AttemptId id) {
+std::optional<Outcome> AttemptManager::refuseLastByte(AttemptId id) {
   const Attempt* const attempt = table_.find(id);
   const ActiveRequest* const request = attempt ? requests_.table().findUnfinished(attempt->request) : nullptr;
-  return request && clock_.now() <= attempt->sendDeadline;
+  if (!request || clock_.now() > attempt->sendDeadline) return Outcome::connectFailed;
+  // The client may have left while its body was relayed. Without a client a filter continues the request.
+  const auto client = request->client.lock();
+  if (client && client->isDisconnected()) return Outcome::notSent;
+  return std::nullopt;
 }
 
 void AttemptManager::onReadyForRequestBody(AttemptId id) {
@@ -287,9 +291,9 @@
       (attempt->responseStartedAt != Time{} ? attempt->responseStartedAt : now) - attempt->sentAt;
   result.requestEnded = request->finished || outcome == Outcome::served;
   readLoadReport(*attempt, host, upstream, result);
+  const bool mayHaveRun = load_balancing::mayHaveRun(outcome);
+  request->mayHaveRun |= mayHaveRun;
   if (RequestContext* const context = request->context.get()) {
-    const bool mayHaveRun = load_balancing::mayHaveRun(outcome);
-    request->mayHaveRun |= mayHaveRun;
     context->mayHaveRun = request->mayHaveRun || request->pendingExchanges > 0;
     extensions_.filters.onAttemptEnded(*context, mayHaveRun);
   }
--- a/src/net/attempt_manager.hpp
+++ b/src/net/attempt_manager.hpp
@@ -63,7 +63,7 @@
   // Events of the pool; see UpstreamCallbacks.
   std::optional<OutgoingRequest> compose(AttemptId id, const ConnectionUse& connection,
                                          load_balancing::Outcome& unsentOutcome);
-  bool maySendLastByte(AttemptId id);
+  std::optional<load_balancing::Outcome> refuseLastByte(AttemptId id);
   void onReadyForRequestBody(AttemptId id);
   /// Returns false if there is no such attempt.
   bool onResponseHeaders(AttemptId id);
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -370,10 +370,14 @@
 
 // --- Ending
 
-// Nothing is read from a client that sent more than the read-ahead limit, or while its host is slow with the
-// rest of a long response. Only the kernel can report that such a client has disconnected.
+// Nothing is read from a client that sent more than the read-ahead limit, or while its host is slow to take
+// the rest of a long body or with the rest of a long response. Only the kernel can report that such a client
+// has disconnected.
 void ClientSession::checkForDisconnect() {
-  if ((state_ == State::relaying || buffer_.size() >= kMaxReadAheadBytes) && peerHasClosed()) close();
+  const bool hostTakesNoBody = state_ == State::waiting && bodyIncomplete_ && !bodyReadRequested_;
+  const bool readsNothing =
+      state_ == State::relaying || hostTakesNoBody || buffer_.size() >= kMaxReadAheadBytes;
+  if (readsNothing && peerHasClosed()) close();
 }
 
 // Returns true if the client sends nothing more: its close is the next event to be read or follows unread
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -145,7 +145,9 @@
                                                 load_balancing::Outcome& unsentOutcome) override {
     return attempts_.compose(attempt, connection, unsentOutcome);
   }
-  bool maySendLastByte(AttemptId attempt) override { return attempts_.maySendLastByte(attempt); }
+  std::optional<load_balancing::Outcome> refuseLastByte(AttemptId attempt) override {
+    return attempts_.refuseLastByte(attempt);
+  }
   void onReadyForRequestBody(AttemptId attempt) override { attempts_.onReadyForRequestBody(attempt); }
   void onResponseHeaders(AttemptId attempt) override;
   void onResponseBegun(AttemptId attempt, UpstreamResponse&& response,
--- a/src/net/request_manager.cpp
+++ b/src/net/request_manager.cpp
@@ -33,7 +33,8 @@
   load_balancing::Request balancerRequest;
   http::status status = reader_.read(message, balancerRequest);
   // A host would treat a second request with the id of an active one as a repetition of it.
-  if (status == http::status::ok && !table_.reserveCorrelationId(view(message["X-Correlation-Id"])))
+  if (status == http::status::ok &&
+      !table_.reserveCorrelationId(view(message["X-Correlation-Id"]), clock_.now()))
     status = http::status::conflict;
   if (status != http::status::ok) {
     Response refusal = plainResponse(status);
@@ -49,6 +50,8 @@
   request.client = session;
   request.message = std::make_shared<const ClientRequest>(std::move(message));
   request.classIndex = balancerRequest.classIndex;
+  request.repeatable =
+      config_.settings.classes[request.classIndex].idempotency == load_balancing::Idempotency::idempotent;
   request.arrivedAt = clock_.now();
   request.timeLeft = balancerRequest.timeLeft;
   request.bodyIncomplete = balancerRequest.bodyIncomplete = !bodyComplete;
@@ -137,6 +140,7 @@
 void RequestManager::finish(RequestId id, ActiveRequest& request, RequestResult result) {
   if (request.isHeld()) releaseHold(id, request);
   request.finished = true;
+  request.clientLeft |= result == RequestResult::clientDisconnected;
   if (extensions_.attemptLog)
     extensions_.attemptLog->onRequest({request.correlationId(), config_.settings.classes[request.classIndex],
                                        request.arrivedAt, request.timeLeft, result, request.responseStatus,
--- a/src/net/response_relays.cpp
+++ b/src/net/response_relays.cpp
@@ -39,7 +39,9 @@
 }
 
 void ResponseRelays::onAborted(RelayId id) {
-  if (relays_.count(id) == 0) return;
+  const auto found = relays_.find(id);
+  if (found == relays_.end()) return;
+  if (ActiveRequest* const request = requests_.find(found->second.request)) request->clientLeft = true;
   pool_.abandonAttempt(id);
   end(id);
 }
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -164,8 +164,9 @@
   timer_.expires_after(verificationTime());
   timer_.async_wait([this, self = shared_from_this(), from](error_code cancelled) {
     if (cancelled || closed_) return;
-    if (isQuiet() && pool_.callbacks_.maySendLastByte(attempt_)) return write(from, request_.size());
-    endAttempt(Outcome::connectFailed);
+    if (!isQuiet()) return endAttempt(Outcome::connectFailed);
+    if (const auto outcome = pool_.callbacks_.refuseLastByte(attempt_)) return endAttempt(*outcome);
+    write(from, request_.size());
   });
   watchBeforeLastByte();
 }
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -35,8 +35,9 @@
   /// attempt got no connection.
   virtual std::optional<OutgoingRequest> composeRequest(AttemptId attempt, const ConnectionUse& connection,
                                                         load_balancing::Outcome& unsentOutcome) = 0;
-  /// Returns true if the last byte may still be sent after the connection was verified.
-  virtual bool maySendLastByte(AttemptId attempt) = 0;
+  /// Asked after the connection was verified. Returns none if the last byte may still be sent, otherwise the
+  /// outcome with which the attempt ends.
+  virtual std::optional<load_balancing::Outcome> refuseLastByte(AttemptId attempt) = 0;
   /// All bytes of an incomplete request so far have been written; `sendBody` is to pass the next piece.
   virtual void onReadyForRequestBody(AttemptId attempt) = 0;
   /// The head of the final response has arrived. Whatever happens to the rest, the host has done its work.
--- a/tests/net/slow_transfers_test.cpp
+++ b/tests/net/slow_transfers_test.cpp
@@ -187,6 +187,67 @@
   }
 }
 
+// Guards against a connection to a host, and its request, that are kept for a client that has left while the
+// rest of its body lies unread.
+TEST_F(SlowTransfersTest, EndsBodyWhoseClientHasLeftWhileHostTakesNothing) {
+  startWithUnreadHost(64 * 1024);
+  const auto c = rawClient();
+  c->send(head("POST", "/book", "Content-Length: 20000000\r\n") + pseudoRandomBytes(20'000'000));
+  ASSERT_TRUE(until([&] { return !rawHost->sockets.empty(); }));
+  runFor(milliseconds(300));  // until no buffer takes more
+  // With a reset: an orderly end would wait behind the bytes for which the receive queue has no room.
+  c->socket.set_option(asio::socket_base::linger(true, 0));
+  c->socket.close();
+  const auto leftAt = Steady::now();
+  ASSERT_TRUE(until([&] { return gateway->openRequests() == 0; }));
+  EXPECT_LT(Steady::now() - leftAt, milliseconds(1000));
+  rawHost->read(rawHost->sockets.back());
+  ASSERT_TRUE(until([&] { return rawHost->ended; }));
+  EXPECT_EQ(gateway->metrics().attemptsSent, 0u);
+}
+
+// Guards against a second execution of a request whose client left while its host was executing it.
+TEST_F(SlowTransfersTest, RefusesIdThatComesAgainAfterItsClientHasLeft) {
+  host(hold);
+  start();
+  const auto request = [](const std::string& method, const std::string& path, const std::string& id) {
+    return method + " " + path + " HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: " + id +
+           "\r\nX-Time-Left-Ms: 2900\r\n" + (method == "POST" ? "Content-Length: 1\r\n\r\nx" : "\r\n");
+  };
+  for (const bool repeatable : {false, true}) {
+    const std::string bytes =
+        repeatable ? request("GET", "/read", "again-1") : request("POST", "/book", "again-2");
+    const std::size_t before = received();
+    const auto first = rawClient();
+    first->send(bytes);
+    ASSERT_TRUE(until([&] { return received() == before + 1; }));
+    first->socket.close();
+    ASSERT_TRUE(until([&] { return gateway->openRequests() == 0; }));
+    const auto second = rawClient();
+    second->read();
+    second->send(bytes);
+    if (repeatable) {
+      ASSERT_TRUE(until([&] { return received() == before + 2; }));
+    } else {
+      ASSERT_TRUE(until([&] { return second->receivedBytes.find("\r\n\r\n") != std::string::npos; }));
+      EXPECT_EQ(second->receivedBytes.find("HTTP/1.1 409"), 0u);
+      EXPECT_EQ(received(), before + 1);
+    }
+  }
+}
+
+TEST(AbandonedIds, ForgetsIdsAfterTheKeepTimeAndTheOldestBeyondTheLimit) {
+  AbandonedIds ids;
+  ids.add("first", Time{});
+  EXPECT_TRUE(ids.contains("first", AbandonedIds::kKeepTime - Duration(1)));
+  EXPECT_FALSE(ids.contains("other", Time{}));
+  EXPECT_FALSE(ids.contains("first", AbandonedIds::kKeepTime));
+  for (std::size_t i = 0; i <= AbandonedIds::kMaxIds; ++i) ids.add(std::to_string(i), Time{});
+  EXPECT_EQ(ids.size(), AbandonedIds::kMaxIds);
+  EXPECT_FALSE(ids.contains("0", Time{}));
+  EXPECT_TRUE(ids.contains("1", Time{}));
+}
+
 // Guards against heads and trailers of very many short fields, each of which takes many times its bytes.
 TEST_F(SlowTransfersTest, RefusesMessagesWithTooManyFields) {
   host(serveOk);
--- a/tests/net/upstream_pool_test.cpp
+++ b/tests/net/upstream_pool_test.cpp
@@ -16,7 +16,7 @@
   bool requestOpen = true;
   std::vector<std::pair<AttemptId, load_balancing::Outcome>> outcomes;
   std::map<AttemptId, std::string> bodies;
-  bool maySendLastByte(AttemptId) override { return true; }
+  std::optional<load_balancing::Outcome> refuseLastByte(AttemptId) override { return std::nullopt; }
   std::optional<OutgoingRequest> composeRequest(AttemptId id, const ConnectionUse&,
                                                 load_balancing::Outcome&) override {
     if (!requestOpen) return std::nullopt;
