A new process takes the endpoint list of the one before it

Cause: a new process knows only the list of its configuration, which may be old; what the process before it had been told ended with that process.

Change: behind what it has learned, the process before tells its endpoint list with version and discovery, in parts; the new one takes it if it has nothing as new from the same discovery. The messages are of a kind that an earlier release ignores, so both directions of an upgrade keep their connections.

ProcessReplacementTest.SuccessorKnowsDrainsOfWhichItsPredecessorWasTold and HostListParts pass.

--- a/src/app/gateway_program.cpp
+++ b/src/app/gateway_program.cpp
@@ -190,7 +190,7 @@
 void GatewayProgram::attachProcessHandover() {
   const std::string path = handoverSocketPath(config_.name);
   if (config_.inheritedListenerDescriptor < 0 || path.empty()) return;
-  handover_ = std::make_unique<ProcessHandover>(io_, path, config_.name, gateway_);
+  handover_ = std::make_unique<ProcessHandover>(io_, clock_, path, config_.name, gateway_);
 }
 
 // --- Signals -------------------------------------------------------------------------------------------
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -1,6 +1,8 @@
 #include "app/process_handover.hpp"
 
+#include <algorithm>
 #include <cstdio>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -13,15 +15,19 @@
 constexpr std::string_view kCordonFileSuffix = ".out";
 constexpr std::string_view kSocketSuffix = ".next";
 
+std::string addressText(const tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 }  // namespace
 
 using handover::Channel;
 using handover::Message;
 using handover::MessageKind;
 
-ProcessHandover::ProcessHandover(boost::asio::io_context& io, std::string path, std::string name,
-                                 Gateway& gateway)
-    : io_(io), path_(std::move(path)), name_(std::move(name)), gateway_(gateway) {
+ProcessHandover::ProcessHandover(boost::asio::io_context& io, const Clock& clock, std::string path,
+                                 std::string name, Gateway& gateway)
+    : io_(io), clock_(clock), path_(std::move(path)), name_(std::move(name)), gateway_(gateway) {
   predecessor_ = handover::connectToPredecessor(io_, path_);
   if (predecessor_) connectPredecessor();
   else listenForSuccessor();
@@ -50,6 +56,7 @@
 
 void ProcessHandover::onPredecessorMessage(const Message& message, std::unique_ptr<Descriptor> connection) {
   if (message.kind == MessageKind::learnedState) {
+    if (auto part = handover::decodeHostListPart(message.text)) return onHostListPart(std::move(*part));
     const auto learned = handover::decodeLearnedState(message.text);
     if (learned) gateway_.restoreLearnedState(*learned);
   } else if (message.kind == MessageKind::connection) {
@@ -102,9 +109,52 @@
                  "successor learns it anew: omitted_hosts=%zu max_bytes=%zu\n",
                  learned.omittedHosts, handover::kMaxLearnedStateBytes);
   successor_->send({MessageKind::learnedState, std::move(learned.text)});
+  sendHostList();
   if (handingOver_) startHandingOver();
 }
 
+// The successor's configuration may have an old list, and discovery may be down: without this one it would
+// send to hosts of whose drain this process was told.
+void ProcessHandover::sendHostList() {
+  const HostList list = gateway_.endpointList();
+  if (list.version < 0) return;
+  const std::size_t parts =
+      std::max<std::size_t>(1, (list.hosts.size() + handover::kHostsPerPart - 1) / handover::kHostsPerPart);
+  for (std::size_t i = 0; i < parts; ++i) {
+    const std::size_t begin = i * handover::kHostsPerPart;
+    const std::size_t end = std::min(list.hosts.size(), begin + handover::kHostsPerPart);
+    HostList part{list.version, true, {}};
+    part.hosts.assign(list.hosts.begin() + static_cast<std::ptrdiff_t>(begin),
+                      list.hosts.begin() + static_cast<std::ptrdiff_t>(end));
+    std::string text = handover::encodeHostListPart(
+        {addressText(gateway_.discoveryEndpoint()), i, parts, hostListText(part, clock_)});
+    if (text.size() > handover::kMaxLearnedStateBytes) {
+      std::fprintf(stderr, "finchstile: the host list does not fit into handover messages: bytes=%zu\n",
+                   text.size());
+      return;
+    }
+    successor_->send({MessageKind::learnedState, std::move(text)});
+  }
+}
+
+void ProcessHandover::onHostListPart(handover::HostListPart&& part) {
+  if (part.discovery != addressText(gateway_.discoveryEndpoint())) return;
+  const auto texts = hostListParts_.add(std::move(part));
+  if (!texts) return;
+  HostList list;
+  try {
+    for (const std::string& text : *texts) {
+      HostList next = parseHostList(text, clock_);
+      list.version = next.version;
+      std::move(next.hosts.begin(), next.hosts.end(), std::back_inserter(list.hosts));
+    }
+  } catch (const ConfigError&) {
+    return;
+  }
+  list.complete = true;
+  if (!list.hosts.empty()) gateway_.restoreEndpointList(list);
+}
+
 void ProcessHandover::startHandingOver() {
   handingOver_ = true;
   if (!successor_) return;
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "handover/channel.hpp"
+#include "handover/host_list_parts.hpp"
 #include "handover/listener.hpp"
 #include "net/gateway.hpp"
 
@@ -18,9 +19,10 @@
 class ProcessHandover {
  public:
   // Connects to the predecessor if there is one, and otherwise listens for a successor. `path`: of the
-  // socket, the same for all processes of this gateway; `name`: the gateway's. `io` and `gateway` must
-  // outlive this object.
-  ProcessHandover(boost::asio::io_context& io, std::string path, std::string name, Gateway& gateway);
+  // socket, the same for all processes of this gateway; `name`: the gateway's. `io`, `clock` and `gateway`
+  // must outlive this object.
+  ProcessHandover(boost::asio::io_context& io, const Clock& clock, std::string path, std::string name,
+                  Gateway& gateway);
   ~ProcessHandover();
   ProcessHandover(const ProcessHandover&) = delete;
   ProcessHandover& operator=(const ProcessHandover&) = delete;
@@ -40,16 +42,20 @@
   void onCandidate(const std::shared_ptr<handover::Channel>& channel);
   void onHello(const handover::Message& message);
   void welcomeSuccessor();
+  void sendHostList();
+  void onHostListPart(handover::HostListPart&& part);
   bool handOver(int fd);
   void onSuccessorLost();
 
   boost::asio::io_context& io_;
+  const Clock& clock_;
   const std::string path_, name_;
   Gateway& gateway_;
   std::unique_ptr<handover::HandoverListener> listener_;
   std::shared_ptr<handover::Channel> predecessor_;
   std::shared_ptr<handover::Channel> candidate_;  // connected, has not sent its hello yet
   std::shared_ptr<handover::Channel> successor_;
+  handover::HostListParts hostListParts_;
   std::size_t connectionsGiven_ = 0, connectionsAdopted_ = 0;
   bool handingOver_ = false;
 };
--- a/src/handover/message.hpp
+++ b/src/handover/message.hpp
@@ -17,7 +17,7 @@
 //                         payload
 //   kind 4  finished      from the predecessor: no more connections follow; no payload
 //   kind 5  learnedState  from the predecessor, after its welcome: what its load balancer has learned
-//                         (learned_state_text.hpp)
+//                         (learned_state_text.hpp); then its endpoint list, in parts (host_list_parts.hpp)
 //
 // A process closes its channel when it receives anything else. Between two releases with different formats
 // client connections are therefore closed when the predecessor exits, as if there were no successor.
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -47,6 +47,14 @@
   throw ConfigError(Code::invalidValue, "unknown status '" + status + "' of a host");
 }
 
+const char* phaseName(HostPhase phase) {
+  switch (phase) {
+    case HostPhase::draining: return "leaving";
+    case HostPhase::removed: return "left";
+    default: return "active";
+  }
+}
+
 std::uint64_t readSeed(const std::string& text) {
   std::uint64_t seed = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, kSeedBase);
@@ -121,6 +129,24 @@
   return readHostList(list, clock);
 }
 
+std::string hostListText(const HostList& list, const Clock& clock) {
+  json endpoints = json::array();
+  for (const auto& [entry, endpoint] : list.hosts) {
+    std::chrono::milliseconds startedAt{};  // 0: long ago
+    if (entry.startedAt != load_balancing::Time{})
+      startedAt = std::chrono::duration_cast<std::chrono::milliseconds>(clock.unixAt(entry.startedAt));
+    endpoints.push_back({{"name", entry.address},
+                         {"address", endpoint.address().to_string() + ":" + std::to_string(endpoint.port())},
+                         {"zone", entry.zone},
+                         {"type", entry.machineType},
+                         {"group", entry.cell},
+                         {"status", phaseName(entry.phase)},
+                         {"since_ms", startedAt.count()}});
+  }
+  const json document = {{"index", list.version}, {"snapshot", list.complete}, {"endpoints", endpoints}};
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 HostList applyChanges(const HostList& base, HostList&& changes) {
   std::unordered_set<std::string> changed;
   for (const ListedHost& host : changes.hosts) changed.insert(host.entry.address);
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -75,6 +75,8 @@
 HostList readHostList(const nlohmann::json& list, const Clock& clock);
 /// As `readHostList`, from JSON text.
 HostList parseHostList(std::string_view text, const Clock& clock);
+/// The inverse of `parseHostList`.
+std::string hostListText(const HostList& list, const Clock& clock);
 /// Returns the complete list that results from applying `changes` to `base`. Removed hosts are left out.
 HostList applyChanges(const HostList& base, HostList&& changes);
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -43,6 +43,9 @@
   void move(const tcp::endpoint& endpoint, HostList knownHosts = {});
   /// Requests the complete list from the present service.
   void requestCompleteList() { move(endpoint_); }
+  /// Version of the last list; below 0 if there is none.
+  std::int64_t version() const { return version_; }
+  const tcp::endpoint& endpoint() const { return endpoint_; }
   /// Ends the watch without a callback.
   void stop();
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -94,6 +94,19 @@
   executeActions();
 }
 
+HostList Gateway::endpointList() const {
+  HostList list = hosts_.listedHosts();
+  list.version = discovery_.version();
+  list.complete = true;
+  return list;
+}
+
+void Gateway::restoreEndpointList(const HostList& list) {
+  if (list.version <= discovery_.version()) return;
+  if (extensions_.hostListInterceptor) extensions_.hostListInterceptor->onInitialList(list);
+  updateHosts(list, HostListUpdate::restored);
+}
+
 // --- Clients
 
 bool Gateway::respondToHealthCheck(ClientSession& session, const ClientRequest& message) const {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -82,6 +82,9 @@
   /// Adopts state that the load balancer of another gateway process learned; see
   /// `LoadBalancer::restoreLearnedState`.
   void restoreLearnedState(const load_balancing::LearnedState& learned);
+  /// Puts a complete list of the present discovery service into force that another process had. Does nothing
+  /// if this process has one that is as new.
+  void restoreEndpointList(const HostList& list);
 
   // --- The endpoint list.
   /// To be called when the result of a HostEntryFilter may have changed.
@@ -115,6 +118,9 @@
   std::vector<HostView> hosts() const { return hosts_.views(); }
   GatewayMetrics metrics() const;
   load_balancing::LearnedState learnedState() const { return balancer_.learnedState(); }
+  /// The list in force, complete and with the version of the present discovery service.
+  HostList endpointList() const;
+  const tcp::endpoint& discoveryEndpoint() const { return discovery_.endpoint(); }
   tcp::endpoint endpoint() const { return listener_.endpoint(); }
   std::size_t openRequests() const { return requests_.table().size(); }
   std::size_t upstreamConnections() const { return pool_.connections(); }
