--- a/include/finchstile/load_balancer.hpp
+++ b/include/finchstile/load_balancer.hpp
@@ -313,8 +313,8 @@
   void onRequest(Time now, const Request& request);
 
   // The last byte of a request with `bodyIncomplete` has arrived; its client had written it at `writtenAt` at
-  // the earliest, from where the client's time counts. Returns the timeout of its attempt, counted from now; 0
-  // if no attempt is pending or the client's time is over.
+  // the earliest, from where the client's time counts. Returns the timeout of its attempt, counted from now;
+  // 0 if no attempt is pending or the client's time is over.
   Duration onRequestBodyComplete(Time now, RequestId request, Time writtenAt);
 
   // The host has sent response headers: its processing is done, and the transfer of the body does not count
