What a receive queue has room for is told by its memory, not by its bytes

Cause: to know whether a client can have written its last byte, the receive queue counted as having room when it held few bytes. Pieces that are partly read keep all of their memory, so a queue with 18,944 unread bytes took 257 kB of a buffer of 145 kB: its window was closed, and the client's last byte waited behind it.

Change: the kernel tells the memory that the queue takes (SO_MEMINFO). Bytes that the session has read ahead of the host count as received.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -30,8 +30,6 @@
 // unresponsive.
 constexpr double kMinBodyBytesPerSecond = 32 * 1024;
 
-// The sender's window is still open while less than this part of the receive buffer is used.
-constexpr std::size_t kMinReceiveBufferShare = 4;
 // Bytes that a client has written can be buffered between it and this process up to this number.
 constexpr std::size_t kMaxBytesInTransit = std::size_t{10} * 1024 * 1024;
 // A sender fills an open window within this time with what it has buffered.
@@ -206,20 +204,20 @@
   if (full) inputBacklogAt_ = lastByteAt_;
 }
 
-// Bytes that the client has written may be in this socket's receive queue or, once that is full, in buffers
-// on the way to it. Without a length only an empty queue shows that the last byte is not among them.
+// Bytes that the client has written may have been read already, be in this socket's receive queue or, if that
+// has no room, in buffers on the way to it. Without a length only the lack of any bytes shows that the last
+// one is not among them.
 bool ClientSession::mayHaveWrittenLastByte() {
   if (state_ == State::closed) return true;
   const std::size_t unread = unreadBytes(socket_);
   const Time queueFilledSince = bodyReadRequested_ ? inputBacklogAt_ : bodyPausedSince_;
   const bool queueSettled = listener_.clock_.now() - queueFilledSince >= kMinTimeWithoutBacklog;
-  if (unread == 0 && queueSettled) return false;
+  const bool queueHasRoom = queueSettled && receiveQueueHasRoom(socket_);
   const auto length = reader_.parser().content_length();
-  if (!length) return true;
-  const std::uint64_t missing =
-      *length - std::min<std::uint64_t>(*length, reader_.bodyRead() + buffer_.size());
-  const bool queueHasRoom = queueSettled && unread < receiveBufferBytes(socket_) / kMinReceiveBufferShare;
-  return missing <= unread || (!queueHasRoom && missing <= kMaxBytesInTransit);
+  if (!length) return !queueHasRoom || unread + buffer_.size() > 0;
+  const std::uint64_t received = reader_.bodyRead() + buffer_.size() + unread;
+  if (received >= *length) return true;
+  return !queueHasRoom && *length - received <= kMaxBytesInTransit;
 }
 
 // --- Writing
--- a/src/net/socket_queues.hpp
+++ b/src/net/socket_queues.hpp
@@ -2,11 +2,15 @@
 // acknowledged yet.
 #pragma once
 
+#include <linux/sock_diag.h>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <utility>
 
@@ -26,12 +30,15 @@
   return static_cast<std::size_t>(bytes);
 }
 
-/// Size of the receive buffer, with the kernel's own overhead. 0 if the socket is closed.
-inline std::size_t receiveBufferBytes(const boost::asio::ip::tcp::socket& socket) {
-  boost::asio::socket_base::receive_buffer_size size;
-  boost::system::error_code error;
-  socket.get_option(size, error);
-  return error ? 0 : static_cast<std::size_t>(size.value());
+/// Whether the peer's window is certainly open, so that what it has written arrives. What counts is the
+/// memory that the receive queue takes, which can be many times its bytes. False if that is not known.
+inline bool receiveQueueHasRoom(boost::asio::ip::tcp::socket& socket) {
+  constexpr std::uint32_t kMaxUsedPart =
+      4;  // a quarter of the buffer; the rest is for the window and overhead
+  std::array<std::uint32_t, SK_MEMINFO_VARS> memory{};
+  socklen_t size = sizeof memory;
+  if (::getsockopt(socket.native_handle(), SOL_SOCKET, SO_MEMINFO, memory.data(), &size) != 0) return false;
+  return memory[SK_MEMINFO_RMEM_ALLOC] < memory[SK_MEMINFO_RCVBUF] / kMaxUsedPart;
 }
 
 /// Whether the peer takes bytes while a write waits for room in the send buffer. No I/O.
