A client that takes nothing is disconnected after its time, not a look later

Cause: since progress is what a client's system acknowledges, the write timeout counted from the look that saw a change, although the change may be 250 ms older; a client that reads nothing was kept for up to 0.5 s beyond the timeout instead of 0.25 s.

Change: progress is dated to the look before, and each look closes what is overdue.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -306,9 +306,12 @@
 }
 
 // The socket takes further bytes only when much of its send buffer is free, which a slow client may need many
-// seconds for.
-void ClientSession::noteWriteProgress() {
-  if (writeProgress_.advanced(unacknowledgedBytes(socket_))) enter(State::writing);
+// seconds for. Progress is dated to the previous check, so that the timeout is not exceeded by two intervals.
+void ClientSession::checkWriteProgress() {
+  const Time now = listener_.clock_.now();
+  if (writeProgress_.advanced(unacknowledgedBytes(socket_))) stateSince_ = writeCheckedAt_;
+  writeCheckedAt_ = now;
+  if (now - stateSince_ > listener_.options_.writeTimeout) close();
 }
 
 void ClientSession::onWritten() {
--- a/src/net/client_session.hpp
+++ b/src/net/client_session.hpp
@@ -109,7 +109,7 @@
   void writeHead(const Response& response, std::optional<std::uint64_t> length);
   void write();
   void onWritten();
-  void noteWriteProgress();
+  void checkWriteProgress();
   // Refusing.
   void refuse(boost::beast::http::status status);
   void refuseInput(boost::system::error_code error);
@@ -153,6 +153,7 @@
   std::string output_;  // bytes from `outputWritten_` on are still to be written
   std::size_t outputWritten_ = 0;
   AcknowledgementProgress writeProgress_;
+  Time writeCheckedAt_{};
   RelayId relay_ = 0;  // 0 if the response is not relayed
   bool morePiecesFollow_ = false;
   bool chunked_ = false;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -186,7 +186,6 @@
 Duration Listener::maxAge(State state) const {
   switch (state) {
     case State::idle: return options_.idleTimeout;
-    case State::writing: return options_.writeTimeout;
     case State::lingering: return draining() ? kMaxLingerTimeInDrain : kMaxLingerTime;
     default: return Duration::max();
   }
@@ -202,8 +201,8 @@
 }
 
 void Listener::sweep() {
-  forEachIn(State::writing, [](ClientSession& session) { session.noteWriteProgress(); });
-  for (const State state : {State::idle, State::writing, State::lingering}) sweepExpired(state);
+  forEachIn(State::writing, [](ClientSession& session) { session.checkWriteProgress(); });
+  for (const State state : {State::idle, State::lingering}) sweepExpired(state);
   for (const State state : {State::fresh, State::reading, State::waiting})
     forEachIn(state, [](ClientSession& session) {
       if (session.isOverdue()) session.onOverdue();
