An endpoint is written as text in one place

Cause: the hand-over of the endpoint list wrote an endpoint as text by itself, twice, as five older places do.

Change: addressText beside parseAddress serves all of src. A test for lists that are written and read again, which the hand-over of the list lacked.

--- a/src/app/membership_service.cpp
+++ b/src/app/membership_service.cpp
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <unordered_set>
 
+#include "base/address.hpp"
+
 namespace finchstile {
 namespace {
 
@@ -25,9 +27,7 @@
   list.version = from.version;
   list.isComplete = from.complete;
   for (const ListedHost& host : from.hosts) {
-    const std::string endpoint =
-        host.endpoint.address().to_string() + ":" + std::to_string(host.endpoint.port());
-    list.hosts.push_back({host.entry, endpoint});
+    list.hosts.push_back({host.entry, addressText(host.endpoint)});
   }
   return list;
 }
--- a/src/app/membership_text.cpp
+++ b/src/app/membership_text.cpp
@@ -5,6 +5,7 @@
 #include <initializer_list>
 
 #include "app/membership_service.hpp"
+#include "base/address.hpp"
 
 namespace finchstile {
 namespace {
@@ -94,8 +95,7 @@
   const Time now = clock_.now();
   const std::string& name = host.listed.address;
   const membership::HostState* state = hostStates_.find(name);
-  std::string text = name + " at=" + host.endpoint.address().to_string() + ":" +
-                     std::to_string(host.endpoint.port()) + " zone=" + host.listed.zone +
+  std::string text = name + " at=" + addressText(host.endpoint) + " zone=" + host.listed.zone +
                      " kind=" + host.listed.machineType + " now=" + phaseText(host.effectivePhase) + "\n";
   const auto addLine = [&](const std::string& line) { text += "  " + line + "\n"; };
 
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "app/admin_api.hpp"
+#include "base/address.hpp"
 #include "handover/learned_state_text.hpp"
 
 namespace finchstile {
@@ -15,10 +16,6 @@
 constexpr std::string_view kCordonFileSuffix = ".out";
 constexpr std::string_view kSocketSuffix = ".next";
 
-std::string addressText(const tcp::endpoint& endpoint) {
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 }  // namespace
 
 using handover::Channel;
--- a/src/base/address.hpp
+++ b/src/base/address.hpp
@@ -1,4 +1,4 @@
-// Parses an address and a port in the form of the settings, such as "10.0.0.4:8443".
+// Reads and writes an address and a port in the form of the settings, such as "10.0.0.4:8443".
 #pragma once
 
 #include <boost/asio/ip/address.hpp>
@@ -26,6 +26,12 @@
   return std::pair(address, port);
 }
 
+// The inverse of `parseAddress`, for endpoints of any protocol.
+template <class Endpoint>
+std::string addressText(const Endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 // Parses a listen address as written by operators: an IPv6 address is in brackets, "[::1]:9000", and port 0
 // is not permitted.
 inline std::optional<std::pair<boost::asio::ip::address, std::uint16_t>> parseListenAddress(
--- a/src/net/attempt_manager.cpp
+++ b/src/net/attempt_manager.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "base/address.hpp"
 #include "membership/load_report.hpp"
 #include "net/string_view.hpp"
 
@@ -92,8 +93,7 @@
   UpstreamRequest upstreamRequest(clientRequest.method(), clientRequest.target(), 11);
   if (clientRequest.method() == http::verb::unknown)
     upstreamRequest.method_string(clientRequest.method_string());
-  upstreamRequest.set(http::field::host,
-                      host.endpoint.address().to_string() + ":" + std::to_string(host.endpoint.port()));
+  upstreamRequest.set(http::field::host, addressText(host.endpoint));
   for (const char* name : {"X-Correlation-Id", "Idempotency-Key", "Content-Type"})
     if (const auto value = clientRequest[name]; !value.empty()) upstreamRequest.set(name, value);
   if (bodyComplete) upstreamRequest.set("X-Time-Left-Ms", std::to_string(timeLeft.count()));
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -136,7 +136,7 @@
     if (entry.startedAt != load_balancing::Time{})
       startedAt = std::chrono::duration_cast<std::chrono::milliseconds>(clock.unixAt(entry.startedAt));
     endpoints.push_back({{"name", entry.address},
-                         {"address", endpoint.address().to_string() + ":" + std::to_string(endpoint.port())},
+                         {"address", addressText(endpoint)},
                          {"zone", entry.zone},
                          {"type", entry.machineType},
                          {"group", entry.cell},
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/address.hpp"
+
 namespace finchstile {
 namespace {
 
@@ -64,8 +66,7 @@
     acceptor_.bind(endpoint, error);
     if (!error) break;
     if (error != asio::error::address_in_use || clock_.now() >= deadline)
-      throw std::runtime_error("cannot listen at " + endpoint.address().to_string() + ":" +
-                               std::to_string(endpoint.port()) + ": " + error.message());
+      throw std::runtime_error("cannot listen at " + addressText(endpoint) + ": " + error.message());
     std::this_thread::sleep_for(kBindRetryInterval);
   }
   acceptor_.listen(asio::socket_base::max_listen_connections);
--- a/src/net/long_poll_client.cpp
+++ b/src/net/long_poll_client.cpp
@@ -7,6 +7,8 @@
 #include <optional>
 #include <utility>
 
+#include "base/address.hpp"
+
 namespace finchstile {
 namespace {
 
@@ -77,8 +79,7 @@
   responseDeadline_ = {};
   failAt(std::chrono::steady_clock::now() + timeouts.firstByte);
   connection->request = {http::verb::get, target, 11};
-  connection->request.set(http::field::host,
-                          endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+  connection->request.set(http::field::host, addressText(endpoint));
   connection->parser.emplace();
   connection->parser->body_limit(maxBodyBytes_);
   connection->parser->eager(true);  // otherwise the parser would stop after the head
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -151,5 +151,32 @@
             std::string::npos);
 }
 
+TEST(ConfigTest, WritesHostListsThatReadTheSame) {
+  const Clock clock;
+  const std::string text =
+      R"({"index":41,"snapshot":true,"endpoints":[)"
+      R"({"name":"s-0","address":"127.0.0.1:80","zone":"a","type":"m2","group":3,"status":"active","since_ms":0},)"
+      R"({"name":"s-1","address":"::1:81","zone":"b","type":"","group":-1,"status":"leaving","since_ms":1},)"
+      R"({"name":"s-2","address":"127.0.0.2:82","zone":"","type":"m","group":0,"status":"left","since_ms":)" +
+      std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(clock.unixAt(clock.now())).count() - 5000) +
+      "}]}";
+  const HostList read = parseHostList(text, clock);
+  const HostList again = parseHostList(hostListText(read, clock), clock);
+  EXPECT_EQ(again.version, 41);
+  EXPECT_TRUE(again.complete);
+  ASSERT_EQ(again.hosts.size(), 3u);
+  for (std::size_t i = 0; i < again.hosts.size(); ++i) {
+    const auto &one = read.hosts[i], &other = again.hosts[i];
+    EXPECT_EQ(one.endpoint, other.endpoint);
+    EXPECT_EQ(one.entry.address, other.entry.address);
+    EXPECT_EQ(one.entry.zone, other.entry.zone);
+    EXPECT_EQ(one.entry.machineType, other.entry.machineType);
+    EXPECT_EQ(one.entry.cell, other.entry.cell);
+    EXPECT_EQ(one.entry.phase, other.entry.phase);
+    EXPECT_EQ(one.entry.startedAt, other.entry.startedAt);
+  }
+}
+
 }  // namespace
 }  // namespace finchstile::testing
