--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -293,25 +293,21 @@
 // The write timeout restarts after every partial write, and whenever the client has acknowledged more bytes:
 // a slow client is served, and only one that reads nothing is disconnected.
 void ClientSession::write() {
+  writeProgress_.restart(stateSince_);
   const auto unwritten = asio::buffer(output_.data() + outputWritten_, output_.size() - outputWritten_);
   socket_.async_write_some(unwritten, [this, self = shared_from_this()](error_code error, std::size_t bytes) {
     if (state_ == State::closed) return;
     if (error) return close();
     outputWritten_ += bytes;
-    writeProgress_.reset();
     if (outputWritten_ == output_.size()) return onWritten();
     enter(State::writing);
     write();
   });
 }
 
-// The socket takes further bytes only when much of its send buffer is free, which a slow client may need many
-// seconds for. Progress is dated to the previous check, so that the timeout is not exceeded by two intervals.
 void ClientSession::checkWriteProgress() {
-  const Time now = listener_.clock_.now();
-  if (writeProgress_.advanced(unacknowledgedBytes(socket_))) stateSince_ = writeCheckedAt_;
-  writeCheckedAt_ = now;
-  if (now - stateSince_ > listener_.options_.writeTimeout) close();
+  const Duration stalled = writeProgress_.stalledFor(listener_.clock_.now(), unacknowledgedBytes(socket_));
+  if (stalled > listener_.options_.writeTimeout) close();
 }
 
 void ClientSession::onWritten() {
--- a/src/net/client_session.hpp
+++ b/src/net/client_session.hpp
@@ -152,8 +152,7 @@
   // The response.
   std::string output_;  // bytes from `outputWritten_` on are still to be written
   std::size_t outputWritten_ = 0;
-  AcknowledgementProgress writeProgress_;
-  Time writeCheckedAt_{};
+  WriteProgress writeProgress_;
   RelayId relay_ = 0;  // 0 if the response is not relayed
   bool morePiecesFollow_ = false;
   bool chunked_ = false;
--- a/src/net/socket_queues.hpp
+++ b/src/net/socket_queues.hpp
@@ -14,6 +14,8 @@
 #include <optional>
 #include <utility>
 
+#include "net/clock.hpp"
+
 namespace finchstile {
 
 /// Bytes that have arrived and were not read. 0 if the socket is closed.
@@ -33,27 +35,33 @@
 /// Whether the peer's window is certainly open, so that what it has written arrives. What counts is the
 /// memory that the receive queue takes, which can be many times its bytes. False if that is not known.
 inline bool receiveQueueHasRoom(boost::asio::ip::tcp::socket& socket) {
-  constexpr std::uint32_t kMaxUsedPart =
-      4;  // a quarter of the buffer; the rest is for the window and overhead
+  constexpr std::uint32_t kMaxUsedPart = 4;  // half of the buffer can be overhead
   std::array<std::uint32_t, SK_MEMINFO_VARS> memory{};
   socklen_t size = sizeof memory;
   if (::getsockopt(socket.native_handle(), SOL_SOCKET, SO_MEMINFO, memory.data(), &size) != 0) return false;
   return memory[SK_MEMINFO_RMEM_ALLOC] < memory[SK_MEMINFO_RCVBUF] / kMaxUsedPart;
 }
 
-/// Whether the peer takes bytes while a write waits for room in the send buffer. No I/O.
-class AcknowledgementProgress {
+/// How long the peer has taken nothing of a write that waits for room in the send buffer. The buffer has room
+/// only when much of it is free, so that a slow peer makes progress long before. No I/O.
+class WriteProgress {
  public:
-  /// To be called after each write that the socket has taken.
-  void reset() { unacknowledged_.reset(); }
-  /// Returns true if the number of unacknowledged bytes has changed since the previous call after `reset`. It
-  /// only grows if the socket takes more bytes, for which the peer has made room.
-  bool advanced(std::size_t unacknowledged) {
+  /// A write begins, or the socket has taken a part of it.
+  void restart(Time now) {
+    progressAt_ = checkedAt_ = now;
+    unacknowledged_.reset();
+  }
+  /// Time since the last progress, which is dated to the check before the one that sees it. Any change of
+  /// `unacknowledged` is progress: it grows only if the socket takes bytes for which the peer has made room.
+  Duration stalledFor(Time now, std::size_t unacknowledged) {
     const std::optional<std::size_t> previous = std::exchange(unacknowledged_, unacknowledged);
-    return previous && unacknowledged != *previous;
+    if (previous && unacknowledged != *previous) progressAt_ = checkedAt_;
+    checkedAt_ = now;
+    return now - progressAt_;
   }
 
  private:
+  Time progressAt_{}, checkedAt_{};
   std::optional<std::size_t> unacknowledged_;
 };
 
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -22,7 +22,7 @@
 // Maximum time without progress in the middle of a body, in either direction.
 constexpr Duration kMaxBodyStall = std::chrono::seconds(5);
 // How often a write that waits is checked for progress.
-constexpr Duration kWriteProgressInterval = std::chrono::seconds(1);
+constexpr Duration kWriteProgressInterval = std::chrono::milliseconds(250);
 // The pieces of a long response may be far apart.
 constexpr Duration kMaxPauseOfUnknownLength = std::chrono::milliseconds(500);
 // How long the beginning of a response without a length is held back.
@@ -142,7 +142,8 @@
 void UpstreamConnection::onWritten(std::size_t to) {
   if (bodyIncomplete_) {
     stopStallTimer();
-    std::string().swap(request_);  // the pieces that follow are smaller
+    if (request_.capacity() > kMaxPieceBytes) request_ = {};  // that of the first bytes
+    request_.clear();
     return requestNextBodyPiece();
   }
   if (to < request_.size()) return verifyThenWrite(to);
@@ -348,11 +349,9 @@
   });
 }
 
-// A host that reads slowly makes progress long before the socket takes the next bytes.
 void UpstreamConnection::watchForWriteStall() {
   if (std::exchange(stallTimerSet_, true)) return;
-  writeProgress_.reset();
-  writeProgressAt_ = pool_.clock_.now();
+  writeProgress_.restart(pool_.clock_.now());
   awaitWriteProgress();
 }
 
@@ -360,9 +359,8 @@
   timer_.expires_after(kWriteProgressInterval);
   timer_.async_wait([this, self = shared_from_this()](error_code cancelled) {
     if (cancelled || closed_ || !stallTimerSet_) return;
-    const Time now = pool_.clock_.now();
-    if (writeProgress_.advanced(unacknowledgedBytes(socket_))) writeProgressAt_ = now;
-    if (now - writeProgressAt_ >= kMaxBodyStall) return endAttempt(Outcome::connectFailed);
+    const Duration stalled = writeProgress_.stalledFor(pool_.clock_.now(), unacknowledgedBytes(socket_));
+    if (stalled >= kMaxBodyStall) return endAttempt(Outcome::connectFailed);
     awaitWriteProgress();
   });
 }
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -115,8 +115,7 @@
   bool relaying_ = false;         // the response is relayed piece by piece
   bool relaysNextBytes_ = false;  // a response without a length is not buffered any longer
   Time responseHeadAt_{};
-  AcknowledgementProgress writeProgress_;
-  Time writeProgressAt_{};
+  WriteProgress writeProgress_;
 };
 
 }  // namespace finchstile
