Ids of clients that left are held once, and looked up without a copy

Cause: each id was stored in a set and in a queue, and each request made a copy of its id for the look-up. The moment before which a client can't have written its last byte was asked for in two ways, with two answers without a client.

Change: the set refers to the queue's ids. One function gives that moment.

--- a/src/net/abandoned_ids.hpp
+++ b/src/net/abandoned_ids.hpp
@@ -21,14 +21,14 @@
   static constexpr std::size_t kMaxIds = 16384;
 
   void add(std::string_view id, Time now) {
-    if (!ids_.emplace(id).second) return;
-    order_.emplace_back(now, id);
+    if (ids_.count(id) > 0) return;
+    ids_.insert(order_.emplace_back(now, id).second);
     if (order_.size() > kMaxIds) removeOldest();
   }
 
   bool contains(std::string_view id, Time now) {
     while (!order_.empty() && order_.front().first + kKeepTime <= now) removeOldest();
-    return !ids_.empty() && ids_.count(std::string(id)) > 0;
+    return ids_.count(id) > 0;
   }
 
   std::size_t size() const { return ids_.size(); }
@@ -39,8 +39,8 @@
     order_.pop_front();
   }
 
-  std::unordered_set<std::string> ids_;
-  std::deque<std::pair<Time, std::string>> order_;
+  std::deque<std::pair<Time, std::string>> order_;  // the oldest first; its elements don't move
+  std::unordered_set<std::string_view> ids_;        // of `order_`
 };
 
 }  // namespace finchstile
--- a/src/net/attempt_manager.cpp
+++ b/src/net/attempt_manager.cpp
@@ -145,9 +145,7 @@
   Attempt* const attempt = table_.find(attemptId);
   if (!attempt) return true;
   const Time now = clock_.now();
-  const auto client = request.client.lock();
-  const Duration timeout =
-      balancer_.onRequestBodyComplete(now, id, client ? client->lastByteNotBefore() : now);
+  const Duration timeout = balancer_.onRequestBodyComplete(now, id, lastByteNotBefore(request));
   attempt->sentAt = now;
   table_.setDeadline(attemptId, *attempt, now + timeout);
   if (timeout > Duration{}) return true;
@@ -159,9 +157,12 @@
 // An incomplete body has a limit of its own, for its client counts from its last byte, which may have been
 // written already although the host has not taken the bytes before it.
 Time AttemptManager::bodyDeadline(const ActiveRequest& request) const {
+  return lastByteNotBefore(request) + request.timeLeft - config_.settings.eventInterval;
+}
+
+Time AttemptManager::lastByteNotBefore(const ActiveRequest& request) {
   const auto client = request.client.lock();
-  const Time writtenAt = client ? client->lastByteNotBefore() : request.arrivedAt;
-  return writtenAt + request.timeLeft - config_.settings.eventInterval;
+  return client ? client->lastByteNotBefore() : request.arrivedAt;
 }
 
 void AttemptManager::cancel(const load_balancing::Action& action) {
@@ -194,8 +195,8 @@
 // without a length: if it goes on, it is relayed from there.
 bool AttemptManager::extendDeadline(AttemptId id, Time now) {
   Attempt* const attempt = table_.find(id);
-  const ActiveRequest* const request = requestOf(id);
-  if (!attempt || !request || request->finished) return false;
+  const ActiveRequest* const request = attempt ? requests_.table().findUnfinished(attempt->request) : nullptr;
+  if (!request) return false;
   Time deadline = now;
   if (request->bodyIncomplete) deadline = bodyDeadline(*request);
   else if (pool_.relayNextBytes(id)) deadline = now + kMaxTimeToNextBytes;
