The list of the process before goes the way of a list of discovery

Cause: with [membership] on, a list that was handed over was passed to the list policy as a second initial one. The warm start from peers ran again, hosts that the list omits stayed in the policy's record, and the list was not checked. Found by reading the change.

Change: restoreEndpointList asks the interceptor as for any list. The test of the replacement starts its processes by the fixture's own function, and plays [membership] too.

Measured: WarmStartTest.ChecksListOfThePredecessorAsOneOfDiscovery fails with the form before (warm start not finished, no list accepted) and passes; SuccessorKnowsDrainsOfWhichItsPredecessorWasTold passes with both; 30 tests of membership, warm start and replacement, release build, none failed.

--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -149,7 +149,7 @@
     return;
   }
   list.complete = true;
-  if (!list.hosts.empty()) gateway_.restoreEndpointList(list);
+  if (!list.hosts.empty()) gateway_.restoreEndpointList(std::move(list));
 }
 
 void ProcessHandover::startHandingOver() {
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -101,10 +101,14 @@
   return list;
 }
 
-void Gateway::restoreEndpointList(const HostList& list) {
+void Gateway::restoreEndpointList(HostList&& list) {
   if (list.version <= discovery_.version()) return;
-  if (extensions_.hostListInterceptor) extensions_.hostListInterceptor->onInitialList(list);
-  updateHosts(list, HostListUpdate::restored);
+  if (HostListInterceptor* const interceptor = extensions_.hostListInterceptor) {
+    std::optional<HostList> accepted = interceptor->onList(std::move(list));
+    if (!accepted) return;
+    list = std::move(*accepted);
+  }
+  updateHosts(list, list.complete ? HostListUpdate::restored : HostListUpdate::incremental);
 }
 
 // --- Clients
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -82,9 +82,9 @@
   /// Adopts state that the load balancer of another gateway process learned; see
   /// `LoadBalancer::restoreLearnedState`.
   void restoreLearnedState(const load_balancing::LearnedState& learned);
-  /// Puts a complete list of the present discovery service into force that another process had. Does nothing
-  /// if this process has one that is as new.
-  void restoreEndpointList(const HostList& list);
+  /// Applies a complete list of the present discovery service that another process had, as if discovery had
+  /// sent it. Does nothing if this process has one that is as new.
+  void restoreEndpointList(HostList&& list);
 
   // --- The endpoint list.
   /// To be called when the result of a HostEntryFilter may have changed.
--- a/src/net/host_list_hooks.hpp
+++ b/src/net/host_list_hooks.hpp
@@ -18,7 +18,7 @@
   virtual void apply(load_balancing::HostEntry& entry) const = 0;
 };
 
-/// Decides which lists of discovery are applied.
+/// Decides which lists of discovery, and of the process before this one, are applied.
 class HostListInterceptor {
  public:
   virtual ~HostListInterceptor() = default;
--- a/tests/app/membership_service_test.cpp
+++ b/tests/app/membership_service_test.cpp
@@ -330,6 +330,25 @@
   EXPECT_EQ(fresh.service->warmStart()->statistics().complete, 1u);
 }
 
+// Guards against a second start from peers, and against a list that is not checked, when the process before
+// this one hands over its list.
+TEST_F(WarmStartTest, ChecksListOfThePredecessorAsOneOfDiscovery) {
+  Node& old = node(known(false));
+  load(old, 200);
+  pass(milliseconds(1300));
+  Node& fresh = node(known(false));
+  ASSERT_TRUE(until([&] { return fresh.service->warmStart()->isFinished(); }));
+  HostList list = fresh.gateway.endpointList();
+  ASSERT_EQ(list.hosts.size(), 8u);
+  const std::size_t accepted = fresh.service->listPolicy().statistics().accepted;
+  list.version += 5;
+  list.hosts.pop_back();
+  fresh.gateway.restoreEndpointList(std::move(list));
+  EXPECT_TRUE(fresh.service->warmStart()->isFinished());
+  EXPECT_EQ(fresh.service->listPolicy().statistics().accepted, accepted + 1);
+  EXPECT_EQ(fresh.gateway.endpointList().hosts.size(), 7u);
+}
+
 // The peer's snapshot lists the host as active.
 TEST_F(WarmStartTest, HostDrainedByOwnListStaysDraining) {
   Node& old = node(known(false));
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -388,8 +388,12 @@
   }
   std::unique_ptr<Process> launch(const tcp::endpoint& ops, const std::string& name,
                                   const std::vector<std::string>& arguments = {}) {
-    json config = configJson(discovery.endpoint(), json::array({hostJson("s-0", hosts[0]->endpoint()),
-                                                                hostJson("s-1", hosts[1]->endpoint())}));
+    return launchWith(configJson(discovery.endpoint(), json::array({hostJson("s-0", hosts[0]->endpoint()),
+                                                                    hostJson("s-1", hosts[1]->endpoint())})),
+                      ops, name, arguments);
+  }
+  std::unique_ptr<Process> launchWith(json config, const tcp::endpoint& ops, const std::string& name,
+                                      const std::vector<std::string>& arguments = {}) {
     config["listen"] = text(listener.local_endpoint());
     config["ops"] = text(ops);
     folder.write(name, config.dump());
@@ -461,47 +465,44 @@
 }
 
 // Guards against requests to a draining or removed host from a successor whose configuration has an old list
-// while discovery is down.
+// while discovery is down, whether lists are checked by [membership] or not.
 TEST_F(ProcessReplacementTest, SuccessorKnowsDrainsOfWhichItsPredecessorWasTold) {
   for (int i = 0; i < 2; ++i)
     hosts.push_back(
         std::make_unique<Server>(io, [](const auto& peer, const Received&) { peer->reply(200, "ok"); }));
-  Registry registry(io);
-  const tcp::endpoint registryEndpoint = registry.endpoint(0);
-  for (int i = 0; i < 4; ++i) registry.set("s-" + std::to_string(i), hosts[i]->endpoint(), "active");
-  const json known = registry.known();
-  const auto launchWithOldList = [&](const tcp::endpoint& ops, const std::string& name) {
-    json config = configJson(registryEndpoint, json::array());
-    config["known"] = known;
-    config["listen"] = text(listener.local_endpoint());
-    config["ops"] = text(ops);
-    folder.write(name, config.dump());
-    setenv("LB_CONFIG", (folder / name).c_str(), 1);
-    return std::make_unique<Process>(FINCHSTILE_PROGRAM, std::vector<std::string>{}, folder / (name + ".log"),
-                                     listener.native_handle());
-  };
-  const tcp::endpoint ops = reserveEndpoint(io), successorOps = reserveEndpoint(io);
-  program = launchWithOldList(ops, "first");
-  ASSERT_TRUE(becomesReady(ops)) << program->logged();
-  ASSERT_TRUE(until([&] { return registry.polls(0) > 0; }));
-  registry.set("s-0", hosts[0]->endpoint(), "leaving");
-  registry.set("s-1", hosts[1]->endpoint(), "left");
-  ASSERT_TRUE(until([&] {
-    const std::string metrics = call(ops, "GET /api/telemetry").second;
-    return metrics.find("lb_cluster_size 3\n") != std::string::npos &&
-           metrics.find("lb_cluster_unhealthy 1\n") != std::string::npos;
-  }));
-  registry.stop(0);
-  successor = launchWithOldList(successorOps, "second");
-  ASSERT_TRUE(becomesReady(successorOps)) << successor->logged();
-  program->signal(SIGTERM);
-  ASSERT_TRUE(until([&] { return program->ended(); }));
-  const std::size_t before[] = {hosts[0]->received.size(), hosts[1]->received.size()};
-  const auto c = Client::connect(io, listener.local_endpoint());
-  sendRequest(c, 60);
-  EXPECT_EQ(hosts[0]->received.size(), before[0]);
-  EXPECT_EQ(hosts[1]->received.size(), before[1]);
-  EXPECT_NE(call(successorOps, "GET /api/telemetry").second.find("lb_cluster_size 3\n"), std::string::npos);
+  const std::string membership = folder.write("o.toml", "[membership]\nenabled = true\n");
+  for (const auto& arguments :
+       {std::vector<std::string>{}, std::vector<std::string>{"run", "--operator", membership}}) {
+    Registry registry(io);
+    for (int i = 0; i < 4; ++i) registry.set("s-" + std::to_string(i), hosts[i]->endpoint(), "active");
+    json config = configJson(registry.endpoint(0), json::array());
+    config["known"] = registry.known();
+    const tcp::endpoint ops = reserveEndpoint(io), successorOps = reserveEndpoint(io);
+    program = launchWith(config, ops, "first", arguments);
+    ASSERT_TRUE(becomesReady(ops)) << program->logged();
+    ASSERT_TRUE(until([&] { return registry.polls(0) > 0; }));
+    registry.set("s-0", hosts[0]->endpoint(), "leaving");
+    registry.set("s-1", hosts[1]->endpoint(), "left");
+    const auto reports = [&](const tcp::endpoint& at, const std::string& line) {
+      return call(at, "GET /api/telemetry").second.find(line) != std::string::npos;
+    };
+    ASSERT_TRUE(until(
+        [&] { return reports(ops, "lb_cluster_size 3\n") && reports(ops, "lb_cluster_unhealthy 1\n"); }));
+    registry.stop(0);
+    successor = launchWith(config, successorOps, "second", arguments);
+    ASSERT_TRUE(becomesReady(successorOps)) << successor->logged();
+    program->signal(SIGTERM);
+    ASSERT_TRUE(until([&] { return program->ended(); }));
+    const std::size_t before[] = {hosts[0]->received.size(), hosts[1]->received.size()};
+    const auto c = Client::connect(io, listener.local_endpoint());
+    sendRequest(c, 60);
+    EXPECT_EQ(hosts[0]->received.size(), before[0]);
+    EXPECT_EQ(hosts[1]->received.size(), before[1]);
+    EXPECT_TRUE(reports(successorOps, "lb_cluster_size 3\n"));
+    EXPECT_TRUE(reports(successorOps, "lb_cluster_unhealthy 1\n"));
+    successor->signal(SIGTERM);
+    ASSERT_TRUE(until([&] { return successor->ended(); }));
+  }
 }
 
 // The state of hosts, from /api/hosts and from `finchstile hosts`; without [membership] both are unavailable.
