--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -155,7 +155,8 @@
   const Clock clock;
   const std::string text =
       R"({"index":41,"snapshot":true,"endpoints":[)"
-      R"({"name":"s-0","address":"127.0.0.1:80","zone":"a","type":"m2","group":3,"status":"active","since_ms":0},)"
+      R"({"name":"s-0","address":"127.0.0.1:80","zone":"a","type":"m2","group":3,)"
+      R"("status":"active","since_ms":0},)"
       R"({"name":"s-1","address":"::1:81","zone":"b","type":"","group":-1,"status":"leaving","since_ms":1},)"
       R"({"name":"s-2","address":"127.0.0.2:82","zone":"","type":"m","group":0,"status":"left","since_ms":)" +
       std::to_string(
