One budget for the bytes that all clients hold, counted before they are read

Operators of other deployments saw a process pass its memory limit with hundreds of clients that stop half way through large requests. Cause: what a client may hold is bounded, but the sum is not related to the memory limit, which is not read from the configuration at all (limits.memory_mb).

Change: BufferBudget, a quarter of limits.memory_mb. Half of it is divided into equal shares, at the least one read of 8 KiB each, so that small requests never wait; the other half is a pool for what goes beyond a share. The rest of a head or body is reserved as a whole before it is read, in the order of waiting: reserved piece by piece, clients would wait for each other. A client without room is not read; one whose request can't be read in its time for that reason gets 503. Responses and the rest of bodies that are passed on are counted, and never wait. lb_client_buffer_bytes and lb_client_reads_paused_total show both. Without memory_mb nothing changes. Bytes of later requests are read ahead 8 KiB at a time, as all others, up to 16 KiB as before.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -51,7 +51,10 @@
 }  // namespace
 
 ClientSession::ClientSession(tcp::socket socket, Listener& listener)
-    : listener_(listener), socket_(std::move(socket)), buffer_(kMaxUnparsedBytes + kMaxReadBytes) {
+    : listener_(listener),
+      socket_(std::move(socket)),
+      bufferAccount_(listener.bufferBudget_),
+      buffer_(kMaxUnparsedBytes + kMaxReadBytes) {
   reader_.restart();
 }
 
@@ -65,6 +68,16 @@
   }
   state_ = state;
   stateSince_ = listener_.clock_.now();
+  if (state == State::lingering || state == State::closed) bufferAccount_.endReservation();
+  updateHeldBytes();
+  listener_.resumePausedReads();
+}
+
+// Memory that the client takes now. The buffer of 8 KiB that every connection has is not counted, only what
+// is in it.
+std::size_t ClientSession::heldBytes() const {
+  if (state_ == State::closed) return 0;
+  return buffer_.size() + reader_.heldBytes() + messageBytes_ + pieceBytes_ + output_.size();
 }
 
 // --- Reading
@@ -87,6 +100,13 @@
 }
 
 void ClientSession::onReadable() {
+  handleInput();
+  if (state_ == State::closed) return;
+  updateHeldBytes();
+  listener_.resumePausedReads();
+}
+
+void ClientSession::handleInput() {
   if (state_ == State::writing || state_ == State::relaying) return;  // awaitRequest starts the next wait
   if (state_ == State::lingering) return discardInput();
   // `readBody` starts the next wait.
@@ -97,7 +117,10 @@
   const std::size_t buffered = buffer_.size();
   if (readsAhead && buffered >= kMaxReadAheadBytes) return;  // checkForDisconnect detects the close
   error_code error;
-  const std::size_t maxBytes = readsAhead ? kMaxReadAheadBytes - buffered : kMaxReadBytes;
+  const std::size_t maxBytes =
+      readsAhead ? std::min(kMaxReadBytes, kMaxReadAheadBytes - buffered) : kMaxReadBytes;
+  // The rest of a body whose request was passed on needs no room: it leaves as fast as it is read.
+  if (!bodyIncomplete_ && !reserveInput()) return;
   const bool full = receive(maxBytes, error) == maxBytes;
   if (error == asio::error::would_block || error == asio::error::try_again) return awaitBytes();
   if (error) return close();
@@ -112,8 +135,33 @@
   parseRequest();
 }
 
+// Returns false if reading has to pause until other clients hold less.
+bool ClientSession::reserveInput() {
+  if (readPaused_) return false;
+  readPaused_ = !listener_.reserveInput(*this);
+  return !readPaused_;
+}
+
+// Bytes that are reserved before the next read. The first read of a request takes what every client may hold.
+// What follows is reserved as a whole: clients that each wait for the rest of their room would wait for each
+// other.
+std::size_t ClientSession::expectedInput() const {
+  if (state_ == State::waiting || heldBytes() == 0) return kMaxReadBytes;
+  if (!reader_.isHeadComplete()) return kMaxReadBytes + kMaxHeadBytes + kMaxFields * kFieldOverheadBytes;
+  const std::uint64_t length = reader_.parser().content_length().value_or(kMaxBodyBytes);
+  const std::uint64_t buffered = std::min<std::uint64_t>(length, kMaxBufferedBodyBytes + kMaxReadBytes);
+  return static_cast<std::size_t>(buffered) - reader_.bufferedBody();
+}
+
+void ClientSession::resumeReading() {
+  readPaused_ = false;
+  awaitBytes();
+}
+
 void ClientSession::awaitRequest() {
   reader_.restart();
+  messageBytes_ = 0;
+  pieceBytes_ = 0;
   requestStarted_ = buffer_.size() > 0;
   enter(requestStarted_ ? State::reading : State::idle);
   if (requestStarted_) return parseRequest();
@@ -153,6 +201,8 @@
 }
 
 void ClientSession::onRequestParsed(bool bodyComplete) {
+  messageBytes_ = reader_.heldBytes();
+  bufferAccount_.endReservation();
   ClientRequest request = reader_.takeMessage();
   keepAlive_ = request.keep_alive();
   httpVersion_ = request.version();
@@ -170,6 +220,7 @@
 
 void ClientSession::readBody() {
   if (state_ != State::waiting || !bodyIncomplete_ || std::exchange(bodyReadRequested_, true)) return;
+  pieceBytes_ = 0;
   lastByteAt_ = listener_.clock_.now();
   bodyPausedTime_ += lastByteAt_ - bodyPausedSince_;
   if (unreadBytes(socket_) > 0) inputBacklogAt_ = lastByteAt_;
@@ -188,7 +239,9 @@
   bodyReadRequested_ = false;
   bodyPausedSince_ = listener_.clock_.now();
   const auto self = shared_from_this();
-  listener_.callbacks_.onClientBody(request_, reader_.takeBody(), !bodyIncomplete_);
+  std::string piece = reader_.takeBody();
+  pieceBytes_ = piece.size();
+  listener_.callbacks_.onClientBody(request_, std::move(piece), !bodyIncomplete_);
   if (state_ == State::waiting && !bodyIncomplete_) awaitBytes();
 }
 
@@ -294,6 +347,7 @@
 // a slow client is served, and only one that reads nothing is disconnected.
 void ClientSession::write() {
   writeProgress_.restart(stateSince_);
+  updateHeldBytes();
   const auto unwritten = asio::buffer(output_.data() + outputWritten_, output_.size() - outputWritten_);
   socket_.async_write_some(unwritten, [this, self = shared_from_this()](error_code error, std::size_t bytes) {
     if (state_ == State::closed) return;
@@ -348,7 +402,7 @@
 void ClientSession::onOverdue() {
   if (!requestStarted_) return closeIdle();
   if (writingContinue_ || state_ == State::waiting) return close();  // concurrent writes would interleave
-  refuse(http::status::request_timeout);
+  refuse(readPaused_ ? http::status::service_unavailable : http::status::request_timeout);
 }
 
 bool ClientSession::isOverdue() const {
@@ -373,7 +427,7 @@
 void ClientSession::checkForDisconnect() {
   const bool hostTakesNoBody = state_ == State::waiting && bodyIncomplete_ && !bodyReadRequested_;
   const bool readsNothing =
-      state_ == State::relaying || hostTakesNoBody || buffer_.size() >= kMaxReadAheadBytes;
+      state_ == State::relaying || hostTakesNoBody || readPaused_ || buffer_.size() >= kMaxReadAheadBytes;
   if (readsNothing && peerHasClosed()) close();
 }
 
--- a/src/net/client_session.hpp
+++ b/src/net/client_session.hpp
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "finchstile/load_balancer.hpp"
+#include "net/buffer_budget.hpp"
 #include "net/client_messages.hpp"
 #include "net/clock.hpp"
 #include "net/framing.hpp"
@@ -97,6 +98,12 @@
   // Reading.
   void awaitBytes();
   void onReadable();
+  void handleInput();
+  bool reserveInput();
+  std::size_t expectedInput() const;
+  void resumeReading();
+  std::size_t heldBytes() const;
+  void updateHeldBytes() { bufferAccount_.set(heldBytes()); }
   std::size_t receive(std::size_t maxBytes, boost::system::error_code& error);
   void awaitRequest();
   void parseRequest();
@@ -131,6 +138,8 @@
   State state_ = State::fresh;
   List::iterator listPosition_{};  // in the listener's list of sessions in `state_`
   Time stateSince_{};
+  BufferAccount bufferAccount_;
+  bool readPaused_ = false;  // until the listener's budget has room for more input
 
   // The request.
   boost::beast::flat_buffer buffer_;
@@ -139,6 +148,8 @@
   unsigned httpVersion_ = 11;
   bool keepAlive_ = true;
   bool isHeadRequest_ = false;
+  std::size_t messageBytes_ = 0;    // memory of the request that was passed on
+  std::size_t pieceBytes_ = 0;      // of its body, passed on last
   bool requestStarted_ = false;     // bytes of a request have arrived
   bool bodyIncomplete_ = false;     // more of the body of the passed-on request is to be read
   bool bodyReadRequested_ = false;  // `readBody` was called and its piece was not delivered yet
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -19,6 +19,7 @@
 using Code = ConfigError::Code;
 
 constexpr int kSeedBase = 16;
+constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 
 // Calls `visit(path, text)` for each value of the settings. Paths have the form of the simulator's first
 // message: keys joined by dots, list items by index.
@@ -169,8 +170,10 @@
   config.discovery = readEndpoint(document.at("discovery").get<std::string>());
   if (const auto admin = document.find("ops"); admin != document.end() && !admin->is_null())
     config.adminEndpoint = readEndpoint(admin->get<std::string>());
-  if (const auto limits = document.find("limits"); limits != document.end())
+  if (const auto limits = document.find("limits"); limits != document.end()) {
     config.descriptorLimit = limits->value("sockets", config.descriptorLimit);
+    config.memoryLimit = limits->value("memory_mb", std::size_t{0}) * kBytesPerMegabyte;
+  }
   config.settings = readSettings(document);
   config.connectTimeout = readPositiveNanoseconds(settings, "connectTimeoutNs");
   config.upstreamIdleTimeout = readPositiveNanoseconds(settings, "idleCloseNs");
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -53,6 +53,7 @@
   tcp::endpoint listen, discovery;
   std::optional<tcp::endpoint> adminEndpoint;  ///< If not set, the gateway has no admin interface.
   std::size_t descriptorLimit = 1024;          ///< Maximum number of descriptors of the process.
+  std::size_t memoryLimit = 0;                 ///< Of the process, in bytes; 0 if there is none.
   load_balancing::Settings settings;
   load_balancing::Duration connectTimeout{}, upstreamIdleTimeout{};
   HostList knownHosts;
--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -26,6 +26,8 @@
 inline constexpr std::size_t kMaxHeadBytes = std::size_t{16} * 1024;
 /// Fields of a head and its trailers together. A field of four bytes takes about a hundred in memory.
 inline constexpr std::size_t kMaxFields = 256;
+/// What the parser allocates for a field besides its bytes.
+inline constexpr std::size_t kFieldOverheadBytes = 96;
 /// Bytes read from a socket at a time.
 inline constexpr std::size_t kMaxReadBytes = std::size_t{8} * 1024;
 inline constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeadBytes + kMaxReadBytes;
@@ -84,6 +86,9 @@
 /// Beast's parser, with a limit on the number of fields.
 template <bool isRequest>
 class LimitedParser : public boost::beast::http::parser<isRequest, GrowingBody> {
+ public:
+  std::size_t fields() const { return fields_; }
+
  private:
   void on_field_impl(boost::beast::http::field name, boost::beast::string_view nameText,
                      boost::beast::string_view value, boost::system::error_code& error) override {
@@ -113,6 +118,7 @@
     parser_->header_limit(kMaxHeadBytes);
     headBytes_ = 0;
     headComplete_ = false;
+    headTaken_ = false;
     takenBytes_ = 0;
   }
 
@@ -162,9 +168,15 @@
   }
 
   Parser& parser() { return *parser_; }
+  const Parser& parser() const { return *parser_; }
   bool isHeadComplete() const { return headComplete_; }
   /// Bytes of the body that have arrived and were not taken.
   std::size_t bufferedBody() const { return parser_->get().body().size(); }
+  /// Memory that the part of the message takes that has arrived and was not taken.
+  std::size_t heldBytes() const {
+    const std::size_t head = headTaken_ ? 0 : headBytes_ + parser_->fields() * kFieldOverheadBytes;
+    return head + bufferedBody();
+  }
   /// Bytes of the body that have arrived since `restart`.
   std::uint64_t bodyRead() const { return takenBytes_ + bufferedBody(); }
   /// Moves out the part of the body that has arrived and was not taken.
@@ -177,6 +189,7 @@
   /// the body may follow.
   Message takeMessage() {
     std::string body = takeBody();
+    headTaken_ = true;
     Message message{std::move(parser_->get().base())};
     message.body() = std::move(body);
     return message;
@@ -187,6 +200,7 @@
   std::size_t headBytes_ = 0;
   std::uint64_t takenBytes_ = 0;
   bool headComplete_ = false;
+  bool headTaken_ = false;
 };
 
 }  // namespace finchstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -34,8 +34,9 @@
     : clock_(clock),
       config_(std::move(config)),
       balancer_(config_.settings, clock.now()),
-      listener_(io, clock, config_.listen, config_.inheritedListenerDescriptor, maxClientConnections(config_),
-                config_.options.clients, *this),
+      listener_(io, clock, config_.listen, config_.inheritedListenerDescriptor,
+                {maxClientConnections(config_), maxClientBufferBytes(config_)}, config_.options.clients,
+                *this),
       pool_(io, clock, upstreamPoolLimits(config_), *this),
       metrics_(config_.settings.classes),
       hosts_(clock, balancer_, pool_),
@@ -443,6 +444,8 @@
   metrics.attemptsSent = pool_.sends();
   metrics.unsolicitedBytes = pool_.unsolicitedBytes();
   metrics.activeRequests = relays_.size() + requests_.table().unfinishedCount();
+  metrics.clientBufferBytes = listener_.bufferedBytes();
+  metrics.pausedReads = listener_.pausedReads();
   metrics.listedHosts = hosts_.listedCount();
   metrics.avoidedHosts = hosts_.avoidedCount();
   return metrics;
--- a/src/net/gateway_limits.cpp
+++ b/src/net/gateway_limits.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "net/buffer_budget.hpp"
+
 namespace finchstile {
 namespace {
 
@@ -32,6 +34,9 @@
 constexpr std::size_t kOwnDescriptors = 16;
 constexpr std::size_t kMinDescriptorsPerUse = 8;
 
+// Fraction of the memory limit. The rest is for responses of hosts, keys, lists and the program itself.
+constexpr double kClientBufferFraction = 0.25;
+
 std::size_t descriptorShare(const GatewayConfig& config, double fraction) {
   const std::size_t own = kOwnDescriptors + config.reservedDescriptors;
   const auto available =
@@ -59,6 +64,11 @@
   return descriptorShare(config, config.options.clientDescriptorFraction);
 }
 
+std::size_t maxClientBufferBytes(const GatewayConfig& config) {
+  if (config.memoryLimit == 0) return BufferBudget::kUnlimited;
+  return static_cast<std::size_t>(static_cast<double>(config.memoryLimit) * kClientBufferFraction);
+}
+
 UpstreamPool::Limits upstreamPoolLimits(const GatewayConfig& config) {
   return {config.connectTimeout,
           maxResponsePause(config),
--- a/src/net/gateway_limits.hpp
+++ b/src/net/gateway_limits.hpp
@@ -9,6 +9,8 @@
 
 /// Maximum number of client connections.
 std::size_t maxClientConnections(const GatewayConfig& config);
+/// Limit of the memory that the buffers of all clients take.
+std::size_t maxClientBufferBytes(const GatewayConfig& config);
 UpstreamPool::Limits upstreamPoolLimits(const GatewayConfig& config);
 Discovery::Timeouts discoveryTimeouts(const load_balancing::Settings& settings);
 
--- a/src/net/gateway_metrics.hpp
+++ b/src/net/gateway_metrics.hpp
@@ -50,9 +50,12 @@
   std::uint64_t loadReports = 0;      ///< Valid load reports received from hosts.
   std::uint64_t malformedLoadReports = 0;
   UnsolicitedBytesMetrics unsolicitedBytes;
-  std::uint64_t activeRequests = 0;  ///< Accepted requests that have not finished.
-  std::uint64_t listedHosts = 0;     ///< Hosts of the endpoint list, including draining ones.
-  std::uint64_t avoidedHosts = 0;    ///< Listed hosts that receive no new requests, for any reason.
+  std::uint64_t activeRequests = 0;     ///< Accepted requests that have not finished.
+  std::uint64_t clientBufferBytes = 0;  ///< Memory that the buffers of all clients take.
+  /// How often a client was not read because others held too much, since the start.
+  std::uint64_t pausedReads = 0;
+  std::uint64_t listedHosts = 0;   ///< Hosts of the endpoint list, including draining ones.
+  std::uint64_t avoidedHosts = 0;  ///< Listed hosts that receive no new requests, for any reason.
 };
 
 }  // namespace finchstile
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -42,16 +42,16 @@
 }  // namespace
 
 Listener::Listener(asio::io_context& io, const Clock& clock, const tcp::endpoint& endpoint, int inherited,
-                   std::size_t maxConnections, const ClientConnectionOptions& options,
-                   ClientCallbacks& callbacks)
+                   const Limits& limits, const ClientConnectionOptions& options, ClientCallbacks& callbacks)
     : io_(io),
       clock_(clock),
-      maxConnections_(maxConnections),
-      maxRefused_(maxConnections / kConnectionsPerRefused + 1),
+      maxConnections_(limits.connections),
+      maxRefused_(limits.connections / kConnectionsPerRefused + 1),
       options_(options),
       callbacks_(callbacks),
       acceptor_(io),
       acceptPause_(io),
+      bufferBudget_(limits.bufferBytes, limits.connections, kMaxReadBytes),
       inherited_(inherited >= 0) {
   if (inherited_) inherit(endpoint, inherited);
   else bind(endpoint);
@@ -168,6 +168,26 @@
   return size_ < before;
 }
 
+// Clients that need room beyond their shares get it in the order in which they paused.
+bool Listener::reserveInput(ClientSession& session) {
+  const std::size_t bytes = session.expectedInput();
+  const bool waitsBehindOthers = !pausedReads_.empty() && !session.bufferAccount_.hasRoom(bytes);
+  if (!waitsBehindOthers && session.bufferAccount_.tryReserve(bytes)) return true;
+  pausedReads_.push_back(session.weak_from_this());
+  ++pausedReadCount_;
+  return false;
+}
+
+void Listener::resumePausedReads() {
+  while (!pausedReads_.empty()) {
+    const auto session = pausedReads_.front().lock();
+    const bool reads = session && session->state_ != State::lingering && session->state_ != State::closed;
+    if (reads && !session->bufferAccount_.tryReserve(session->expectedInput())) return;
+    pausedReads_.pop_front();
+    if (reads) session->resumeReading();
+  }
+}
+
 void Listener::trimIdle() {
   if (sessionsIn(State::idle).size() > std::max<std::size_t>(1, maxConnections_ / kConnectionsPerIdle))
     sessionsIn(State::idle).front()->closeIdle();
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -5,10 +5,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
 
+#include "net/buffer_budget.hpp"
 #include "net/client_session.hpp"
 #include "net/clock.hpp"
 #include "net/gateway_options.hpp"
@@ -19,12 +22,17 @@
 /// session of a state is found in constant time.
 class Listener {
  public:
-  /// Binds `endpoint` and listens. At most `maxConnections` client connections are served at once.
+  /// The numbers of connections, and of bytes in their buffers, that are served at once.
+  struct Limits {
+    std::size_t connections = 0;
+    std::size_t bufferBytes = BufferBudget::kUnlimited;
+  };
+  /// Binds `endpoint` and listens.
   /// `inherited` is the descriptor of a socket that already listens at `endpoint` and may be shared with
   /// other processes, or below 0. Throws std::runtime_error if the address can't be bound or the descriptor
   /// is not such a socket.
   Listener(boost::asio::io_context& io, const Clock& clock, const tcp::endpoint& endpoint, int inherited,
-           std::size_t maxConnections, const ClientConnectionOptions& options, ClientCallbacks& callbacks);
+           const Limits& limits, const ClientConnectionOptions& options, ClientCallbacks& callbacks);
 
   void setOptions(const ClientConnectionOptions& options) { options_ = options; }
   tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
@@ -57,6 +65,10 @@
   std::size_t maxConnections() const { return maxConnections_; }
   /// Number of connections beyond `maxConnections` that may exist while they are refused.
   std::size_t maxRefusedConnections() const { return maxRefused_; }
+  /// Memory that the buffers of all clients take.
+  std::size_t bufferedBytes() const { return bufferBudget_.held(); }
+  /// How often a client was not read because others held too much, since the start.
+  std::uint64_t pausedReads() const { return pausedReadCount_; }
 
  private:
   friend class ClientSession;
@@ -70,6 +82,8 @@
   bool shedConnection();
   bool shedUnfinishedConnection();
   bool handOverSession(ClientSession& session);
+  bool reserveInput(ClientSession& session);
+  void resumePausedReads();
   void trimIdle();
   void endOldest(State state);
   void sweepExpired(State state);
@@ -89,6 +103,9 @@
   ClientCallbacks& callbacks_;
   tcp::acceptor acceptor_;
   boost::asio::steady_timer acceptPause_;
+  BufferBudget bufferBudget_;
+  std::deque<std::weak_ptr<ClientSession>> pausedReads_;  // in the order in which they paused
+  std::uint64_t pausedReadCount_ = 0;
   std::array<Sessions, ClientSession::kOpenStates> sessions_;  // by state, in the order of entering it
   std::size_t size_ = 0;
   const bool inherited_;
--- a/src/ops/exposition.cpp
+++ b/src/ops/exposition.cpp
@@ -60,6 +60,8 @@
   for (const ClassMetrics& requestClass : metrics.classes) appendTransactions(out, requestClass);
   appendValue(out, "sends_total", "counter", metrics.attemptsSent);
   appendValue(out, "current", "gauge", metrics.activeRequests);
+  appendValue(out, "client_buffer_bytes", "gauge", metrics.clientBufferBytes);
+  appendValue(out, "client_reads_paused_total", "counter", metrics.pausedReads);
   appendValue(out, "cluster_size", "gauge", metrics.listedHosts);
   appendValue(out, "cluster_unhealthy", "gauge", metrics.avoidedHosts);
   appendValue(out, "load_reports_total", "counter", metrics.loadReports);
--- a/tests/ops/exposition_test.cpp
+++ b/tests/ops/exposition_test.cpp
@@ -11,6 +11,8 @@
   metrics.classes = {{"log-in", 812, 3, 1}, {"a\"b\\c\nd", 0, 0, 0}};
   metrics.attemptsSent = 900;
   metrics.activeRequests = 14;
+  metrics.clientBufferBytes = 8192;
+  metrics.pausedReads = 7;
   metrics.listedHosts = 12;
   metrics.avoidedHosts = 2;
   metrics.loadReports = 5;
@@ -27,6 +29,8 @@
             "lb_transactions_total{group=\"a\\\"b\\\\c\\nd\",state=\"errored\"} 0\n"
             "# TYPE lb_sends_total counter\nlb_sends_total 900\n"
             "# TYPE lb_current gauge\nlb_current 14\n"
+            "# TYPE lb_client_buffer_bytes gauge\nlb_client_buffer_bytes 8192\n"
+            "# TYPE lb_client_reads_paused_total counter\nlb_client_reads_paused_total 7\n"
             "# TYPE lb_cluster_size gauge\nlb_cluster_size 12\n"
             "# TYPE lb_cluster_unhealthy gauge\nlb_cluster_unhealthy 2\n"
             "# TYPE lb_load_reports_total counter\nlb_load_reports_total 5\n"
