Requests that wait for an idempotency key run one at a time in a full store

Cause: when a first try ended unrun, its entry was removed and those that waited were admitted one after another; waiters had been charged without a look at the limit, so the store was over it, had no room for a new entry, and each waiter ran without one.

Change: the first waiter begins the next run in the entry that the ended run leaves, and the others stay in it (Store::finishRunAndBeginNext). A waiter needs room as an entry does; without it, it gets 502 as too many waiters do.

--- a/src/idempotency/filter.cpp
+++ b/src/idempotency/filter.cpp
@@ -305,7 +305,7 @@
   stopWaiting(request, requestState);
   runsWithoutClient_.erase(entry);
   state(request).reset();
-  onRunEnded(store_.finishRun(clock_.now(), entry, Store::RunOutcome::mayHaveExecuted), nullptr);
+  finishUnanswered(entry, Store::RunOutcome::mayHaveExecuted);
   dispatchOwnershipOutput();
 }
 
@@ -320,7 +320,7 @@
   CachedResponse forWaiters;
   if (store_.hasWaiters(entry)) forWaiters = cached;
   const auto outcome = Store::RunOutcome::responded;
-  onRunEnded(store_.finishRun(clock_.now(), entry, outcome, std::move(cached)), &forWaiters);
+  answerWaiters(store_.finishRun(clock_.now(), entry, outcome, std::move(cached)), forWaiters);
   dispatchOwnershipOutput();
 }
 
@@ -346,7 +346,7 @@
   runsWithoutClient_.erase(requestState.entry);
   const auto outcome =
       request.mayHaveRun ? Store::RunOutcome::mayHaveExecuted : Store::RunOutcome::notExecuted;
-  onRunEnded(store_.finishRun(clock_.now(), requestState.entry, outcome), nullptr);
+  finishUnanswered(requestState.entry, outcome);
   dispatchOwnershipOutput();
 }
 
@@ -360,42 +360,33 @@
   runsWithoutClient_.erase(run);
 }
 
-// Answers the waiters with the response. If there is none (null), the first of them runs and the others wait
-// for it.
-void IdempotencyFilter::onRunEnded(const std::vector<Store::Waiter>& waiters,
-                                   const CachedResponse* response) {
+void IdempotencyFilter::answerWaiters(const std::vector<Store::Waiter>& waiters,
+                                      const CachedResponse& response) {
   for (const Store::Waiter waiter : waiters) {
     const auto it = waiters_.find(waiter);
     if (it == waiters_.end()) continue;
     RequestContext& request = *it->second;
-    if (!response) {
-      promoteWaiter(request);
-      continue;
-    }
     ++counts_.answeredFromRunning;
     waiters_.erase(it);
     state(request).reset();
-    callbacks_.respondToHeld(waiter, toResponse(*response));
+    callbacks_.respondToHeld(waiter, toResponse(response));
   }
 }
 
-// Admits a waiter to the store again. It keeps its own deadline and priority, by which the load balancer
-// admits or rejects it like any other request.
-void IdempotencyFilter::promoteWaiter(RequestContext& request) {
-  const Store::AdmissionResult result = store_.admit(clock_.now(), keyedRequest(request));
-  if (result.admission == Admission::joinRunning) {
-    stateOf(request).entry = result.entry;
+// Ends a run without a response. If requests wait for it, the first of them runs and the others wait for that
+// one. It keeps its own deadline and priority, by which the load balancer admits or rejects it like any other
+// request.
+void IdempotencyFilter::finishUnanswered(Store::EntryId entry, Store::RunOutcome outcome) {
+  const Time now = clock_.now();
+  if (!store_.hasWaiters(entry)) {
+    store_.finishRun(now, entry, outcome);
     return;
   }
-  waiters_.erase(request.id);
+  const Store::NextRun next = store_.finishRunAndBeginNext(now, entry, outcome);
   ++counts_.promoted;
-  // The store has no room for the key any more: the request runs without it.
-  if (result.entry == Store::kNone) {
-    state(request).reset();
-    callbacks_.admitHeld(request.id);
-    return;
-  }
-  switch (startRun(request, result)) {
+  RequestContext& request = *waiters_.at(next.waiter);
+  waiters_.erase(next.waiter);
+  switch (startRun(request, next.admission)) {
     case StartResult::admitted: callbacks_.admitHeld(request.id); break;
     case StartResult::held: break;
     case StartResult::rejected:
--- a/src/idempotency/filter.hpp
+++ b/src/idempotency/filter.hpp
@@ -95,8 +95,8 @@
   void onWaiterCompleted(RequestContext& request, const RequestState& state);
   void finishWithoutResponse(RequestContext& request);
   void finishWithResponse(RequestContext& request, CachedResponse&& response);
-  void onRunEnded(const std::vector<Store::Waiter>& waiters, const CachedResponse* response);
-  void promoteWaiter(RequestContext& request);
+  void answerWaiters(const std::vector<Store::Waiter>& waiters, const CachedResponse& response);
+  void finishUnanswered(Store::EntryId entry, Store::RunOutcome outcome);
 
   const Clock& clock_;
   IdempotencySettings settings_;
--- a/src/idempotency/store.cpp
+++ b/src/idempotency/store.cpp
@@ -249,7 +249,8 @@
 
 Store::AdmissionResult Store::joinRun(EntryId id, Waiter waiter) {
   Entry& entry = at(id);
-  if (entry.waiters.size() >= limits_.maxWaiters) return {Admission::tooManyWaiters, kNone, nullptr, nullptr};
+  if (entry.waiters.size() >= limits_.maxWaiters || !makeRoom(entry.tenant, 0, sizeof(Waiter)))
+    return {Admission::tooManyWaiters, kNone, nullptr, nullptr};
   entry.waiters.push_back(waiter);
   charge(entry, sizeof(Waiter));
   return {Admission::joinRunning, id, nullptr, nullptr};
@@ -333,10 +334,43 @@
   return waiters;
 }
 
+Store::Waiter Store::takeFirstWaiter(Entry& entry) {
+  const Waiter first = entry.waiters.front();
+  entry.waiters.erase(entry.waiters.begin());
+  charge(entry, -static_cast<std::ptrdiff_t>(sizeof(Waiter)));
+  return first;
+}
+
 std::vector<Store::Waiter> Store::finishRun(Time now, EntryId id, RunOutcome outcome,
                                             CachedResponse&& response) {
+  std::vector<Waiter> waiters = takeWaiters(at(id));
+  if (!settleRun(now, id, outcome, std::move(response))) remove(id);
+  return waiters;
+}
+
+Store::NextRun Store::finishRunAndBeginNext(Time now, EntryId id, RunOutcome outcome) {
+  Entry& entry = at(id);
+  const bool keyIsKnown = settleRun(now, id, outcome, {});
+  if (keyIsKnown) {
+    unschedule(id);
+    setState(id, KeyState::running);
+  } else {
+    entry.earlierAttempt.reset();
+  }
+  KeyedRequest request;
+  request.tenant = entry.tenant;
+  request.classIndex = entry.classIndex;
+  request.key = entry.key;
+  request.fingerprint = entry.fingerprint;
+  request.waiter = takeFirstWaiter(entry);
+  startRun(now, id, request);
+  if (!keyIsKnown) return {request.waiter, {Admission::firstRun, id, nullptr, nullptr}};
+  return {request.waiter, {Admission::retryUncertain, id, nullptr, &*entry.earlierAttempt}};
+}
+
+// Returns false if nothing of the key is to be remembered; its entry is then left as it is.
+bool Store::settleRun(Time now, EntryId id, RunOutcome outcome, CachedResponse&& response) {
   Entry& entry = at(id);
-  std::vector<Waiter> waiters = takeWaiters(entry);
   // A retry that was not sent does not renew the retention. Otherwise a client that repeats often enough
   // could keep its key uncertain indefinitely.
   const bool keepsExpiry =
@@ -345,8 +379,7 @@
   if ((outcome == RunOutcome::notExecuted && !entry.earlierAttempt) || expiresAt <= now) {
     for (StoreObserver* observer : observers_)
       observer->onRunFinished(entry.run, now, KeyState::unused, {}, nullptr);
-    remove(id);
-    return waiters;
+    return false;
   }
   entry.attemptUnsettled = false;
   // An unknown attempt, without zone and time: the key is bound, and no host qualifies for a repeat.
@@ -360,7 +393,7 @@
   const EarlierAttempt* const executed = entry.attemptSent ? &*entry.earlierAttempt : nullptr;
   for (StoreObserver* observer : observers_)
     observer->onRunFinished(entry.run, expiresAt - limits_.retention, entry.state, entry.response, executed);
-  return waiters;
+  return true;
 }
 
 void Store::cacheResponse(EntryId id, CachedResponse&& response) {
--- a/src/idempotency/store.hpp
+++ b/src/idempotency/store.hpp
@@ -137,6 +137,17 @@
   // uncertain key that was not sent leaves the key uncertain until the time it was before.
   std::vector<Waiter> finishRun(Time now, EntryId id, RunOutcome outcome, CachedResponse&& response = {});
 
+  // The next run of a key, which one of its waiters begins.
+  struct NextRun {
+    Waiter waiter = 0;
+    AdmissionResult admission;  // firstRun or retryUncertain
+  };
+  // Ends a run that left no response, and begins the next run of its key in the same entry for the waiter
+  // that has waited longest; the other waiters wait for that run. Must only be called if there are waiters.
+  // The entry is never removed in between: in a full store, nothing would then relate the waiters to each
+  // other.
+  NextRun finishRunAndBeginNext(Time now, EntryId id, RunOutcome outcome);
+
   // Removes expired entries. admit() and restore() do so as well.
   void expire(Time now);
 
@@ -199,6 +210,8 @@
   AdmissionResult admitKnown(Time now, EntryId id, const KeyedRequest& request);
   AdmissionResult joinRun(EntryId id, Waiter waiter);
   std::vector<Waiter> takeWaiters(Entry& entry);
+  Waiter takeFirstWaiter(Entry& entry);
+  bool settleRun(Time now, EntryId id, RunOutcome outcome, CachedResponse&& response);
   void cacheResponse(EntryId id, CachedResponse&& response);
 
   StoreLimits limits_;
--- a/tests/idempotency/filter_test.cpp
+++ b/tests/idempotency/filter_test.cpp
@@ -314,6 +314,44 @@
   EXPECT_EQ(filter->counts().storeFull, 1u);
 }
 
+// Guards against repeats that all run because the store has no room for the entry of any of them.
+TEST_F(IdempotencyTest, RunsOneWaiterAtATimeWhileTheStoreIsFull) {
+  settings.limits.maxBytes = 4096;
+  settings.limits.maxTenantFraction = 1;
+  settings.rejectWhenFull = true;
+  start(4);
+  const auto first = put("k");
+  ASSERT_TRUE(until([&] { return heldConnections.size() == 1; }));
+  std::vector<std::shared_ptr<Client>> repeats;
+  for (int i = 0; i < 3; ++i) repeats.push_back(put("k"));
+  ASSERT_TRUE(until([&] { return filter->counts().joinedRunning == 3; }));
+  std::vector<std::shared_ptr<Client>> others;
+  ASSERT_TRUE(until([&] {
+    if (filter->counts().storeFull == 0) others.push_back(put("other-" + std::to_string(others.size())));
+    return filter->counts().storeFull > 0;
+  }));
+  for (int i = 0; i < 60; ++i) others.push_back(put("other-0"));
+  ASSERT_TRUE(until([&] { return filter->counts().joinedRunning + filter->counts().tooManyWaiters >= 63; }));
+  EXPECT_LE(filter->store().bytes(), settings.limits.maxBytes);
+  std::vector<std::shared_ptr<Peer>> runs;
+  for (const auto& host : hosts)
+    host->handler = [&, id = first->id](const std::shared_ptr<Peer>& peer, const Received& q) {
+      if (q["X-Correlation-Id"] == id) peer->reply(503, "", "X-Unprocessed: 1\r\n");
+      else if (q["Idempotency-Key"] == "k") runs.push_back(peer);
+    };
+  heldConnections[0]->reply(503, "", "X-Unprocessed: 1\r\n");
+  ASSERT_TRUE(answered(first));
+  ASSERT_TRUE(until([&] { return !runs.empty(); }));
+  pause(milliseconds(200));
+  ASSERT_EQ(runs.size(), 1u);
+  runs[0]->reply(200, "done");
+  for (const auto& repeat : repeats) {
+    ASSERT_TRUE(answered(repeat));
+    EXPECT_EQ(status(repeat), 200u);
+  }
+  EXPECT_EQ(runs.size(), 1u);
+}
+
 TEST_F(IdempotencyTest, DrainAnswersWaiters) {
   start();
   const auto first = put("k", 2000);
--- a/tests/idempotency/store_test.cpp
+++ b/tests/idempotency/store_test.cpp
@@ -303,6 +303,158 @@
   EXPECT_EQ(arrive("k").admission, Admission::tooManyWaiters);
 }
 
+// Guards against waiters that take more bytes than the store may have.
+TEST_F(StoreTest, CountsWaitersBeforeTheyAreTakenIn) {
+  limits.maxBytes = 1024;
+  limits.maxTenantFraction = 1;
+  make(1);
+  arrive("k");
+  while (arrive("k").admission == Admission::joinRunning) EXPECT_LE(store->bytes(), limits.maxBytes);
+  EXPECT_EQ(arrive("k").admission, Admission::tooManyWaiters);
+  EXPECT_LE(store->bytes(), limits.maxBytes);
+}
+
+TEST_F(StoreTest, BeginsNextRunForTheFirstWaiterWhileTheOthersWait) {
+  make();
+  const auto first = arrive("k");
+  arrive("k"), arrive("k"), arrive("k");
+  Store::NextRun next = store->finishRunAndBeginNext(now, first.entry, Outcome::notExecuted);
+  EXPECT_EQ(next.waiter, 2u);
+  EXPECT_EQ(next.admission.admission, Admission::firstRun);
+  EXPECT_EQ(next.admission.entry, first.entry);
+  store->onAttemptSent(first.entry, {"z", 7, now});
+  next = store->finishRunAndBeginNext(now, first.entry, Outcome::mayHaveExecuted);
+  EXPECT_EQ(next.waiter, 3u);
+  EXPECT_EQ(next.admission.admission, Admission::retryUncertain);
+  ASSERT_NE(next.admission.earlierAttempt, nullptr);
+  EXPECT_EQ(next.admission.earlierAttempt->cell, 7);
+  EXPECT_EQ(arrive("k").admission, Admission::joinRunning);
+  EXPECT_EQ(store->finishRun(now, first.entry, Outcome::responded, ok()), (std::vector<Store::Waiter>{4, 5}));
+  EXPECT_EQ(arrive("k").admission, Admission::replayResponse);
+}
+
+// One key in a store that is full now and then: whatever happens to its first run, it has one run at a time,
+// and none after a response. All sequences of events up to a length, and longer ones from seeds.
+struct OneRunAtATime : StoreTest {
+  enum Event : unsigned {
+    arrival,
+    endsUnrun,
+    endsUncertain,
+    endsWithResponse,
+    firstWaiterLeaves,
+    arrivalOfAnotherKey,
+    repeatOfAnotherKey,
+    retentionPasses,
+    kEvents
+  };
+  std::optional<Store::EntryId> running;
+  std::deque<Store::Waiter> waiting;
+  bool responded = false;
+  unsigned otherKeys = 0;
+
+  void begin() {
+    limits = {};
+    limits.maxEntries = 3;
+    limits.maxBytes = 1200;
+    limits.maxTenantFraction = 1;
+    limits.evictCompleted = false;
+    make(1);
+    running.reset();
+    waiting.clear();
+    responded = false;
+    otherKeys = 0;
+  }
+  void onArrival() {
+    const auto result = arrive("k");
+    switch (result.admission) {
+      case Admission::firstRun:
+      case Admission::retryUncertain:
+        ASSERT_FALSE(running) << "a second run beside the first";
+        ASSERT_FALSE(responded) << "a run after a response";
+        running = result.entry;
+        break;
+      case Admission::joinRunning: waiting.push_back(waiters); [[fallthrough]];
+      case Admission::tooManyWaiters: ASSERT_TRUE(running); break;
+      case Admission::replayResponse: ASSERT_TRUE(responded); break;
+      case Admission::storeFull: ASSERT_FALSE(running || responded); break;
+      case Admission::fingerprintMismatch: FAIL();
+    }
+  }
+  void onEnd(Outcome outcome) {
+    if (!running) return;
+    if (outcome != Outcome::notExecuted) store->onAttemptSent(*running, {"z", 1, now});
+    ASSERT_EQ(store->hasWaiters(*running), !waiting.empty());
+    if (outcome == Outcome::responded) {
+      const auto answered = store->finishRun(now, *running, outcome, ok());
+      ASSERT_TRUE(std::equal(answered.begin(), answered.end(), waiting.begin(), waiting.end()));
+      waiting.clear();
+      responded = arrive("k").admission == Admission::replayResponse;  // unless the store has no room for it
+      if (!responded) store->finishRun(now, *running, Outcome::notExecuted);
+      running.reset();
+    } else if (waiting.empty()) {
+      store->finishRun(now, *running, outcome);
+      running.reset();
+    } else {
+      const auto next = store->finishRunAndBeginNext(now, *running, outcome);
+      ASSERT_EQ(next.waiter, waiting.front());
+      ASSERT_EQ(next.admission.entry, *running);
+      waiting.pop_front();
+    }
+  }
+  void handle(unsigned event) {
+    switch (event) {
+      case arrival: return onArrival();
+      case endsUnrun: return onEnd(Outcome::notExecuted);
+      case endsUncertain: return onEnd(Outcome::mayHaveExecuted);
+      case endsWithResponse: return onEnd(Outcome::responded);
+      case firstWaiterLeaves:
+        if (waiting.empty()) return;
+        store->removeWaiter(*running, waiting.front());
+        return waiting.pop_front();
+      case arrivalOfAnotherKey: arrive("other-" + std::to_string(otherKeys++)); return;
+      case repeatOfAnotherKey: arrive("other-0"); return;
+      case retentionPasses:
+        now += limits.retention + seconds(1);
+        responded = false;
+        return;
+    }
+  }
+  void check() { ASSERT_LE(store->bytes(), limits.maxBytes); }
+  void play(const std::vector<unsigned>& events) {
+    begin();
+    for (const unsigned event : events) {
+      handle(event);
+      check();
+      if (HasFatalFailure()) {
+        std::string sequence;
+        for (const unsigned each : events) sequence += std::to_string(each) + " ";
+        FAIL() << "events: " << sequence;
+      }
+    }
+  }
+};
+
+TEST_F(OneRunAtATime, InEverySequenceOfSixEvents) {
+  constexpr unsigned kLength = 6;
+  std::vector<unsigned> events(kLength, 0);
+  for (unsigned sequence = 0; sequence < 1u << (3 * kLength); ++sequence) {
+    static_assert(kEvents == 8, "three bits an event");
+    for (unsigned i = 0; i < kLength; ++i) events[i] = sequence >> (3 * i) & 7;
+    play(events);
+    if (HasFatalFailure()) return;
+  }
+}
+
+TEST_F(OneRunAtATime, InLongSequencesFromSeeds) {
+  for (unsigned seed = 1; seed <= 5000; ++seed) {
+    std::mt19937 rng(seed);
+    std::vector<unsigned> events(60);
+    for (unsigned& event : events) event = rng() % (rng() % 8 == 0 ? kEvents : retentionPasses);
+    play(events);
+    ASSERT_FALSE(HasFatalFailure()) << "seed " << seed;
+  }
+}
+
 TEST_F(StoreTest, DoesNotReturnRemovedWaiter) {
   make();
   const auto first = arrive("k");
