The two processes of a replacement share their idempotency keys

Cause: a new process began with an empty store, and while both serve neither knew of the runs of the other.

Change: the processes exchange keys for as long as both live (KeyReplication, no I/O; ProcessHandover carries its records in messages of a new kind, sent only to a process that has announced them). The first sends what it knows, for which requests with a key wait at the new one, 3 s at the most. Then each reports its runs, and repeats wait for a run of the other process. The new process sends a run only when the first has granted it; if both begin a run of one key at the same time, that of the first counts.

--- a/src/app/gateway_program.cpp
+++ b/src/app/gateway_program.cpp
@@ -190,7 +190,10 @@
 void GatewayProgram::attachProcessHandover() {
   const std::string path = handoverSocketPath(config_.name);
   if (config_.inheritedListenerDescriptor < 0 || path.empty()) return;
-  handover_ = std::make_unique<ProcessHandover>(io_, clock_, path, config_.name, gateway_);
+  idempotency::IdempotencyFilter* const keys =
+      idempotency_ && idempotency_->canReplicate() ? idempotency_.get() : nullptr;
+  handover_ = std::make_unique<ProcessHandover>(io_, clock_, path, config_.name, gateway_, keys,
+                                                idempotency::TenantAndClassNames::of(config_.settings));
 }
 
 // --- Signals -------------------------------------------------------------------------------------------
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -1,9 +1,11 @@
 #include "app/process_handover.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
 #include <iterator>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 #include "app/admin_api.hpp"
@@ -16,6 +18,18 @@
 constexpr std::string_view kCordonFileSuffix = ".out";
 constexpr std::string_view kSocketSuffix = ".next";
 
+// Records of idempotency keys that are sent in one turn of the event loop.
+constexpr std::size_t kKeyRecordsPerTurn = 128;
+// When the other process is asked again to take records.
+constexpr Duration kKeyRetryInterval = std::chrono::milliseconds(1);
+// How long requests with a key wait for the keys of the predecessor. Half of the time in which a new process
+// has to be ready.
+constexpr Duration kMaxKeyLoadTime = std::chrono::seconds(3);
+// With more records than these unsent, the other process counts as hung.
+constexpr std::size_t kMaxQueuedKeyRecords = 65'536;
+// How long a process that has drained waits for its successor to take the last records.
+constexpr std::chrono::milliseconds kMaxKeyFlushTime{1000};
+
 }  // namespace
 
 using handover::Channel;
@@ -23,8 +37,18 @@
 using handover::MessageKind;
 
 ProcessHandover::ProcessHandover(boost::asio::io_context& io, const Clock& clock, std::string path,
-                                 std::string name, Gateway& gateway)
-    : io_(io), clock_(clock), path_(std::move(path)), name_(std::move(name)), gateway_(gateway) {
+                                 std::string name, Gateway& gateway,
+                                 idempotency::IdempotencyFilter* idempotency,
+                                 idempotency::TenantAndClassNames names)
+    : io_(io),
+      clock_(clock),
+      path_(std::move(path)),
+      name_(std::move(name)),
+      gateway_(gateway),
+      idempotency_(idempotency),
+      names_(std::move(names)),
+      keyTimer_(io),
+      keyLoadTimer_(io) {
   predecessor_ = handover::connectToPredecessor(io_, path_);
   if (predecessor_) connectPredecessor();
   else listenForSuccessor();
@@ -45,14 +69,30 @@
     // docs/operators/operations.md documents this line, so its form must not change.
     std::fprintf(stderr, "handover: took over %zu connections at rest\n", connectionsAdopted_);
     predecessor_.reset();
+    endKeyExchange();
     listenForSuccessor();
   };
   predecessor_->start();
   predecessor_->send({MessageKind::hello, name_});
+  if (!idempotency_) return;
+  idempotency_->awaitKeys();
+  keyLoadTimer_.expires_after(kMaxKeyLoadTime);
+  keyLoadTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled || !idempotency_->awaitsKeys()) return;
+    std::fprintf(
+        stderr, "finchstile: the predecessor's idempotency keys have not arrived: waited_s=%lld\n",
+        static_cast<long long>(std::chrono::duration_cast<std::chrono::seconds>(kMaxKeyLoadTime).count()));
+    endKeyExchange();
+  });
 }
 
 void ProcessHandover::onPredecessorMessage(const Message& message, std::unique_ptr<Descriptor> connection) {
-  if (message.kind == MessageKind::learnedState) {
+  if (message.kind == MessageKind::idempotencyKeys) {
+    onKeyRecord(message.text);
+  } else if (message.kind == MessageKind::learnedState) {
+    if (message.text == handover::kKeysAnnouncement)
+      return startKeyExchange(idempotency::KeyReplication::Role::successor, predecessor_);
+    if (!keyChannel_) endKeyExchange();  // an earlier release
     if (auto part = handover::decodeHostListPart(message.text)) return onHostListPart(std::move(*part));
     const auto learned = handover::decodeLearnedState(message.text);
     if (learned) gateway_.restoreLearnedState(*learned);
@@ -77,8 +117,10 @@
 void ProcessHandover::onCandidate(const std::shared_ptr<Channel>& channel) {
   if (candidate_) candidate_->close();
   candidate_ = channel;
-  channel->onMessage = [this](const Message& message, std::unique_ptr<Descriptor>) {
+  channel->onMessage = [this, from = channel.get()](const Message& message, std::unique_ptr<Descriptor>) {
     if (message.kind == MessageKind::hello && candidate_) onHello(message);
+    else if (message.kind == MessageKind::idempotencyKeys && successor_.get() == from)
+      onSuccessorKeys(message.text);
   };
   channel->onClosed = [this, weak = std::weak_ptr<Channel>(channel)] {
     const auto closed = weak.lock();
@@ -93,12 +135,14 @@
   if (message.text != name_) return channel->close();
   // A newer successor replaces an earlier one.
   if (successor_) successor_->close();
+  endKeyExchange();
   successor_ = channel;
   welcomeSuccessor();
 }
 
 void ProcessHandover::welcomeSuccessor() {
   successor_->send({MessageKind::welcome, name_});
+  if (idempotency_) successor_->send({MessageKind::learnedState, std::string(handover::kKeysAnnouncement)});
   handover::LearnedStateText learned = handover::encodeLearnedState(gateway_.learnedState());
   if (learned.omittedHosts > 0)
     std::fprintf(stderr,
@@ -152,6 +196,85 @@
   if (!list.hosts.empty()) gateway_.restoreEndpointList(std::move(list));
 }
 
+// --- Idempotency keys
+
+void ProcessHandover::onSuccessorKeys(const std::string& record) {
+  if (!keyChannel_) startKeyExchange(idempotency::KeyReplication::Role::predecessor, successor_);
+  onKeyRecord(record);
+}
+
+void ProcessHandover::startKeyExchange(idempotency::KeyReplication::Role role,
+                                       std::shared_ptr<Channel> channel) {
+  if (!idempotency_) return;
+  keyChannel_ = std::move(channel);
+  idempotency_->startReplication(role, names_).onOutput = [this] { pumpKeyRecords(); };
+  pumpKeyRecords();
+}
+
+void ProcessHandover::onKeyRecord(const std::string& record) {
+  if (!idempotency_ || !idempotency_->replication()) return;
+  if (idempotency_->replication()->onRecord(clock_.now(), record)) return;
+  std::fprintf(stderr, "finchstile: ignoring a malformed record of idempotency keys: bytes=%zu\n",
+               record.size());
+}
+
+void ProcessHandover::endKeyExchange() {
+  keyChannel_.reset();
+  unsentKeyRecord_.reset();
+  keyTimer_.cancel();
+  keyLoadTimer_.cancel();
+  if (idempotency_) idempotency_->endReplication();
+}
+
+// Returns false if more records remain to be sent.
+bool ProcessHandover::sendKeyRecords(std::size_t maxRecords) {
+  for (std::size_t i = 0; i < maxRecords; ++i) {
+    if (!unsentKeyRecord_) unsentKeyRecord_ = idempotency_->replication()->takeRecord();
+    if (!unsentKeyRecord_) return true;
+    const auto result = keyChannel_->send({MessageKind::idempotencyKeys, *unsentKeyRecord_});
+    if (result == Channel::SendResult::failed) return true;  // onClosed follows
+    if (result == Channel::SendResult::wouldBlock) return false;
+    unsentKeyRecord_.reset();
+  }
+  return false;
+}
+
+void ProcessHandover::pumpKeyRecords() {
+  if (pumpingKeys_ || !keyChannel_ || !idempotency_->replication()) return;
+  if (sendKeyRecords(kKeyRecordsPerTurn)) return;
+  pumpingKeys_ = true;
+  keyTimer_.expires_after(kKeyRetryInterval);
+  keyTimer_.async_wait([this](const boost::system::error_code&) {
+    pumpingKeys_ = false;
+    if (!dropHungKeyPeer()) pumpKeyRecords();
+  });
+}
+
+// Returns true if the other process takes no records. It then learns from the closed channel that keys are no
+// longer exchanged.
+bool ProcessHandover::dropHungKeyPeer() {
+  const bool hung = keyChannel_ && idempotency_->replication() &&
+                    idempotency_->replication()->queuedRecords() > kMaxQueuedKeyRecords;
+  if (!hung) return false;
+  std::fprintf(stderr, "finchstile: the other process takes no idempotency keys: queued_records=%zu\n",
+               idempotency_->replication()->queuedRecords());
+  const auto channel = keyChannel_;
+  channel->close();
+  if (channel == successor_) onSuccessorLost();
+  else predecessor_->onClosed();
+  return true;
+}
+
+// Without its last records the successor would take finished runs for uncertain ones.
+void ProcessHandover::flushKeyRecords() {
+  if (!keyChannel_ || !idempotency_->replication()) return;
+  const auto deadline = std::chrono::steady_clock::now() + kMaxKeyFlushTime;
+  while (!sendKeyRecords(kKeyRecordsPerTurn) && std::chrono::steady_clock::now() < deadline)
+    std::this_thread::sleep_for(kKeyRetryInterval);
+}
+
+// --- Connections
+
 void ProcessHandover::startHandingOver() {
   handingOver_ = true;
   if (!successor_) return;
@@ -169,6 +292,7 @@
 
 void ProcessHandover::onSuccessorLost() {
   successor_.reset();
+  endKeyExchange();
   if (!handingOver_) return;
   // docs/operators/operations.md documents this line, so its form must not change.
   std::fprintf(stderr, "handover: the next process is lost after %zu connections; the others are closed\n",
@@ -178,6 +302,7 @@
 
 void ProcessHandover::finish() {
   if (!successor_) return;
+  flushKeyRecords();
   successor_->send({MessageKind::finished, {}});
   // docs/operators/operations.md documents this line, so its form must not change.
   std::fprintf(stderr, "handover: gave %zu connections to the next process\n", connectionsGiven_);
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -5,13 +5,16 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "handover/channel.hpp"
 #include "handover/host_list_parts.hpp"
 #include "handover/listener.hpp"
+#include "idempotency/filter.hpp"
 #include "net/gateway.hpp"
 
 namespace finchstile {
@@ -19,10 +22,12 @@
 class ProcessHandover {
  public:
   // Connects to the predecessor if there is one, and otherwise listens for a successor. `path`: of the
-  // socket, the same for all processes of this gateway; `name`: the gateway's. `io`, `clock` and `gateway`
-  // must outlive this object.
+  // socket, the same for all processes of this gateway; `name`: the gateway's. `idempotency`: the filter
+  // whose keys are exchanged with the other process, or null. `io`, `clock`, `gateway` and the filter must
+  // outlive this object.
   ProcessHandover(boost::asio::io_context& io, const Clock& clock, std::string path, std::string name,
-                  Gateway& gateway);
+                  Gateway& gateway, idempotency::IdempotencyFilter* idempotency,
+                  idempotency::TenantAndClassNames names);
   ~ProcessHandover();
   ProcessHandover(const ProcessHandover&) = delete;
   ProcessHandover& operator=(const ProcessHandover&) = delete;
@@ -44,6 +49,14 @@
   void welcomeSuccessor();
   void sendHostList();
   void onHostListPart(handover::HostListPart&& part);
+  void startKeyExchange(idempotency::KeyReplication::Role role, std::shared_ptr<handover::Channel> channel);
+  void onSuccessorKeys(const std::string& record);
+  void onKeyRecord(const std::string& record);
+  void endKeyExchange();
+  bool sendKeyRecords(std::size_t maxRecords);
+  void pumpKeyRecords();
+  bool dropHungKeyPeer();
+  void flushKeyRecords();
   bool handOver(int fd);
   void onSuccessorLost();
 
@@ -56,6 +69,13 @@
   std::shared_ptr<handover::Channel> candidate_;  // connected, has not sent its hello yet
   std::shared_ptr<handover::Channel> successor_;
   handover::HostListParts hostListParts_;
+  idempotency::IdempotencyFilter* const idempotency_;
+  const idempotency::TenantAndClassNames names_;
+  std::shared_ptr<handover::Channel> keyChannel_;  // of the process with which keys are exchanged
+  std::optional<std::string> unsentKeyRecord_;
+  boost::asio::steady_timer keyTimer_;      // the next time to send records
+  boost::asio::steady_timer keyLoadTimer_;  // ends the wait for the keys of the predecessor
+  bool pumpingKeys_ = false;
   std::size_t connectionsGiven_ = 0, connectionsAdopted_ = 0;
   bool handingOver_ = false;
 };
--- a/src/handover/message.cpp
+++ b/src/handover/message.cpp
@@ -13,6 +13,7 @@
   switch (kind) {
     case MessageKind::hello:
     case MessageKind::welcome: return kMaxNameBytes;
+    case MessageKind::idempotencyKeys:
     case MessageKind::learnedState: return kMaxMessageBytes - kHeaderBytes;
     case MessageKind::connection:
     case MessageKind::finished: return 0;
@@ -41,7 +42,7 @@
   if (bytes.size() > kMaxMessageBytes || !hasValidHeader(bytes)) return std::nullopt;
   Message message;
   message.kind = static_cast<MessageKind>(bytes[kKindOffset]);
-  if (message.kind < MessageKind::hello || message.kind > MessageKind::learnedState) return std::nullopt;
+  if (message.kind < MessageKind::hello || message.kind > MessageKind::idempotencyKeys) return std::nullopt;
   if (bytes.size() > kHeaderBytes + maxPayloadBytes(message.kind)) return std::nullopt;
   const std::size_t expectedDescriptors = message.kind == MessageKind::connection ? 1 : 0;
   if (descriptors != expectedDescriptors) return std::nullopt;
--- a/src/handover/message.hpp
+++ b/src/handover/message.hpp
@@ -18,6 +18,9 @@
 //   kind 4  finished      from the predecessor: no more connections follow; no payload
 //   kind 5  learnedState  from the predecessor, after its welcome: what its load balancer has learned
 //                         (learned_state_text.hpp); then its endpoint list, in parts (host_list_parts.hpp)
+//   kind 6  idempotencyKeys  a record of idempotency keys (idempotency/replication_record.hpp). From the
+//                         successor only if the predecessor has announced it by kKeysAnnouncement in a message
+//                         of kind 5, and from the predecessor only after the successor's first one
 //
 // A process closes its channel when it receives anything else. Between two releases with different formats
 // client connections are therefore closed when the predecessor exits, as if there were no successor.
@@ -40,9 +43,14 @@
   welcome = 2,
   connection = 3,
   finished = 4,
-  learnedState = 5
+  learnedState = 5,
+  idempotencyKeys = 6
 };
 
+// The payload of a message of kind 5, sent before all others of that kind, from a process that exchanges
+// idempotency keys. Earlier releases ignore it.
+inline constexpr std::string_view kKeysAnnouncement = R"({"idempotencyKeys":1})";
+
 struct Message {
   MessageKind kind = MessageKind::hello;
   std::string text;  // the payload
--- a/src/idempotency/filter.cpp
+++ b/src/idempotency/filter.cpp
@@ -93,6 +93,7 @@
     ++counts_.bodyTooLarge;
     return {};
   }
+  if (awaitingKeys_) return holdUntilKeysAreLoaded(request);
   return admissionDecision(request, store_.admit(clock_.now(), keyedRequest(request)));
 }
 
@@ -147,7 +148,7 @@
   state.awaitsRun = false;
   state.isRetry = result.admission == Admission::retryUncertain;
   if (state.isRetry) request.earlierAttempt = *result.earlierAttempt;
-  state.run = lastRun_;
+  state.run = store_.view(state.entry)->run;
   const bool recorded = !journal_ || journal_->lastRunRecorded();
   // A record of this key may be among those that the log has lost.
   if (journal_ && !state.isRetry && clock_.now() < uncertainUntil_) assumeUncertain(request, state);
@@ -177,8 +178,13 @@
   store_.bindToEarlierAttempt(state.entry, EarlierAttempt{}, uncertainUntil_);
 }
 
-// Claims the key at its owners. Returns whether the request has to wait for their decision.
+// Claims the key at its owners, or at the predecessor of this process. Returns whether the request has to
+// wait for their decision.
 bool IdempotencyFilter::claimAtOwners(RequestContext& request, RequestState& state) {
+  if (replication_ && replication_->decidesRuns()) {
+    decisionWaiters_[state.run] = &request;
+    return true;
+  }
   if (!ownership_) return false;
   const ClientRequest& message = *request.message;
   // A repeat of a key that is uncertain in this gateway waits as well, since another gateway may be running
@@ -214,11 +220,6 @@
   }
 }
 
-void IdempotencyFilter::onRunStarted(std::uint64_t run, Time, const Store::KeyedRequest&,
-                                     const EarlierAttempt*) {
-  lastRun_ = run;
-}
-
 void IdempotencyFilter::onRunFinished(std::uint64_t run, Time at, KeyState state,
                                       const CachedResponse& response, const EarlierAttempt* executed) {
   const Time until = at + settings_.limits.retention;
@@ -272,6 +273,69 @@
   }
 }
 
+// --- Exchange of keys with another process
+
+KeyReplication& IdempotencyFilter::startReplication(KeyReplication::Role role, TenantAndClassNames names) {
+  if (replication_) endReplication();
+  awaitingKeys_ = role == KeyReplication::Role::successor;
+  replication_ = std::make_unique<KeyReplication>(role, store_, std::move(names), clockTimeBase(clock_, ""),
+                                                  settings_.limits.retention,
+                                                  static_cast<KeyReplicationCallbacks&>(*this));
+  return *replication_;
+}
+
+void IdempotencyFilter::endReplication() {
+  if (const auto ending = std::move(replication_)) ending->end();
+  onKeysLoaded();
+}
+
+FilterDecision IdempotencyFilter::holdUntilKeysAreLoaded(RequestContext& request) {
+  auto newState = std::make_unique<RequestState>();
+  newState->awaitsKeys = true;
+  state(request) = std::move(newState);
+  keysWaiters_.push_back(&request);
+  request.heldBeforeExecution = true;
+  FilterDecision decision;
+  decision.hold = true;
+  return decision;
+}
+
+void IdempotencyFilter::onKeysLoaded() {
+  awaitingKeys_ = false;
+  for (RequestContext* const request : std::exchange(keysWaiters_, {})) admitAfterLoading(*request);
+}
+
+void IdempotencyFilter::admitAfterLoading(RequestContext& request) {
+  state(request).reset();
+  request.heldBeforeExecution = false;
+  FilterDecision decision = admissionDecision(request, store_.admit(clock_.now(), keyedRequest(request)));
+  if (decision.response) callbacks_.respondToHeld(request.id, std::move(*decision.response));
+  else if (!decision.hold) callbacks_.admitHeld(request.id);
+}
+
+void IdempotencyFilter::onRunYielded(std::uint64_t run, Store::EntryId entry) {
+  RequestContext& request = *decisionWaiters_.at(run);
+  decisionWaiters_.erase(run);
+  RequestState& requestState = stateOf(request);
+  requestState.awaitsDecision = false;
+  requestState.awaitsRun = true;
+  requestState.isRetry = false;
+  request.earlierAttempt.reset();
+  waiters_[request.id] = &request;
+  store_.waitForRun(entry, request.id);
+}
+
+void IdempotencyFilter::onPeerRunFinished(Store::EntryId entry, Store::RunOutcome outcome,
+                                          CachedResponse&& response) {
+  if (outcome != Store::RunOutcome::responded) {
+    finishUnanswered(entry, outcome);
+  } else {
+    CachedResponse cached = response;
+    answerWaiters(store_.finishRun(clock_.now(), entry, outcome, std::move(cached)), response);
+  }
+  dispatchOwnershipOutput();
+}
+
 void IdempotencyFilter::onAttemptSending(RequestContext& request, UpstreamRequest&) {
   if (!state(request)) return;
   const EarlierAttempt attempt{std::string(request.zone), request.cell, clock_.now()};
@@ -288,7 +352,7 @@
                                           std::vector<HeaderLine>&) {
   if (!state(request)) return;
   RequestState& requestState = stateOf(request);
-  if (requestState.awaitsRun) return;
+  if (requestState.awaitsRun || requestState.awaitsKeys) return;
   if (!head.bodyComplete) return finishWithoutResponse(request);
   if (head.fromUpstream) {
     CachedResponse response{head.status, std::string(head.contentType), std::string(head.body)};
@@ -327,7 +391,8 @@
 bool IdempotencyFilter::continuesWithoutClient(RequestContext& request) {
   if (!state(request)) return false;
   const RequestState& requestState = stateOf(request);
-  if (requestState.awaitsRun || !store_.hasWaiters(requestState.entry)) return false;
+  if (requestState.awaitsRun || requestState.awaitsKeys || !store_.hasWaiters(requestState.entry))
+    return false;
   runsWithoutClient_[requestState.entry] = request.id;
   ++counts_.keptWithoutClient;
   return true;
@@ -336,12 +401,15 @@
 void IdempotencyFilter::stopWaiting(RequestContext& request, const RequestState& state) {
   if (state.awaitsSync) syncWaiters_.remove(request.id);
   if (state.awaitsDecision) decisionWaiters_.erase(state.run);
+  if (state.awaitsKeys)
+    keysWaiters_.erase(std::remove(keysWaiters_.begin(), keysWaiters_.end(), &request), keysWaiters_.end());
 }
 
 void IdempotencyFilter::onRequestCompleted(RequestContext& request, RequestResult) {
   if (!state(request)) return;
   const RequestState& requestState = stateOf(request);
   stopWaiting(request, requestState);
+  if (requestState.awaitsKeys) return;
   if (requestState.awaitsRun) return onWaiterCompleted(request, requestState);
   runsWithoutClient_.erase(requestState.entry);
   const auto outcome =
--- a/src/idempotency/filter.hpp
+++ b/src/idempotency/filter.hpp
@@ -3,6 +3,7 @@
 // have been executed and left no response, repeats are sent only to hosts that recognize them.
 #pragma once
 
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "idempotency/gateway_link.hpp"
 #include "idempotency/journal.hpp"
 #include "idempotency/key_ownership.hpp"
+#include "idempotency/key_replication.hpp"
 #include "idempotency/process_clock.hpp"
 #include "idempotency/settings.hpp"
 #include "idempotency/store.hpp"
@@ -21,7 +23,7 @@
 
 namespace finchstile::idempotency {
 
-class IdempotencyFilter : public RequestFilter, StoreObserver {
+class IdempotencyFilter : public RequestFilter, StoreObserver, KeyReplicationCallbacks {
  public:
   // `tenants`: the number of tenants in the settings. `callbacks` answers and admits held requests. All
   // references must outlive the filter.
@@ -43,6 +45,19 @@
   // Must be called at the time passed to GatewayLink::scheduleTimer().
   void onTimer();
 
+  // Whether keys can be exchanged with another process of this gateway. A log has one writer, and owners know
+  // a gateway as one process.
+  bool canReplicate() const { return !journal_ && !ownership_; }
+  // Holds requests with a key until the keys of the predecessor are loaded or endReplication() is called.
+  void awaitKeys() { awaitingKeys_ = true; }
+  bool awaitsKeys() const { return awaitingKeys_; }
+  // Starts to exchange keys with another process of this gateway, and ends an earlier exchange.
+  KeyReplication& startReplication(KeyReplication::Role role, TenantAndClassNames names);
+  // Must be called when the other process is gone, or if it does not exchange keys.
+  void endReplication();
+  // The exchange in progress, or null.
+  KeyReplication* replication() { return replication_.get(); }
+
   const Store& store() const { return store_; }
   const FilterCounts& counts() const { return counts_; }
   std::string summary() const { return summarize(store_, counts_, journal_, ownership_); }
@@ -61,7 +76,8 @@
     Store::EntryId entry = Store::kNone;
     bool awaitsRun = false;        // for the response of the request that runs
     bool awaitsSync = false;       // of its record in the log
-    bool awaitsDecision = false;   // of the owners of its key
+    bool awaitsDecision = false;   // of the owners of its key or of the predecessor
+    bool awaitsKeys = false;       // of the predecessor
     bool isRetry = false;          // an earlier run may have been executed
     std::uint64_t run = 0;         // the run's number; unset while awaitsRun
     bool hasPeerResponse = false;  // `response` was fetched from another gateway
@@ -69,8 +85,7 @@
   };
   enum class StartResult : std::uint8_t { admitted, held, rejected };
 
-  void onRunStarted(std::uint64_t run, Time at, const Store::KeyedRequest& request,
-                    const EarlierAttempt* earlierAttempt) override;
+  void onRunStarted(std::uint64_t, Time, const Store::KeyedRequest&, const EarlierAttempt*) override {}
   void onAttemptSent(std::uint64_t, const EarlierAttempt&) override {}
   void onAttemptNotExecuted(std::uint64_t) override {}
   void onRunFinished(std::uint64_t run, Time at, KeyState state, const CachedResponse& response,
@@ -88,7 +103,14 @@
   void admitIfReady(const RequestContext& request);
   Response unrecordedResponse(const RequestState& state) const;
   void onSynced();
-  void onDecision(const KeyOwnership::Decision& decision);
+  // KeyReplicationCallbacks
+  void onKeysLoaded() override;
+  void onDecision(const KeyOwnership::Decision& decision) override;
+  void onRunYielded(std::uint64_t run, Store::EntryId entry) override;
+  void onPeerRunFinished(Store::EntryId entry, Store::RunOutcome outcome, CachedResponse&& response) override;
+
+  FilterDecision holdUntilKeysAreLoaded(RequestContext& request);
+  void admitAfterLoading(RequestContext& request);
   void dispatchOwnershipOutput();
 
   void stopWaiting(RequestContext& request, const RequestState& state);
@@ -104,8 +126,6 @@
   RequestFilterCallbacks& callbacks_;
   Store store_;
   FilterCounts counts_;
-  std::uint64_t lastRun_ = 0;  // number of the most recently started run
-
   std::unordered_map<Store::Waiter, RequestContext*> waiters_;  // until their onRequestCompleted()
   // Runs whose own client has disconnected, by entry. Each is abandoned when its last waiter has left.
   std::unordered_map<Store::EntryId, load_balancing::RequestId> runsWithoutClient_;
@@ -119,6 +139,10 @@
   const TenantAndClassNames* names_ = nullptr;
   bool askForEveryKey_ = false;
   std::unordered_map<std::uint64_t, RequestContext*> decisionWaiters_;  // by run
+
+  std::unique_ptr<KeyReplication> replication_;
+  bool awaitingKeys_ = false;                 // keys of the predecessor are being loaded
+  std::vector<RequestContext*> keysWaiters_;  // requests that wait for them, in order
 };
 
 }  // namespace finchstile::idempotency
--- a/src/idempotency/log_record.cpp
+++ b/src/idempotency/log_record.cpp
@@ -1,6 +1,6 @@
 #include "idempotency/log_record.hpp"
 
-#include "base/fields.hpp"
+#include "idempotency/record_fields.hpp"
 
 namespace finchstile::idempotency {
 namespace {
@@ -13,27 +13,8 @@
   runFinished = 5
 };
 
-constexpr unsigned kMinStatus = 100;
-constexpr unsigned kMaxStatus = 999;
-
 FieldWriter writerFor(RecordKind kind) { return FieldWriter(static_cast<std::uint8_t>(kind)); }
 
-std::int64_t nanoseconds(Time time) { return time.count(); }
-
-FieldWriter& writeAttempt(FieldWriter& writer, const EarlierAttempt& attempt) {
-  return writer.text(attempt.zone).number(attempt.cell).number(nanoseconds(attempt.sentAt));
-}
-
-Time readTime(FieldReader& reader) { return Time(reader.number<std::int64_t>()); }
-
-EarlierAttempt readAttempt(FieldReader& reader) {
-  EarlierAttempt attempt;
-  attempt.zone = reader.text();
-  attempt.cell = reader.number<std::int64_t>();
-  attempt.sentAt = readTime(reader);
-  return attempt;
-}
-
 struct Encoder {
   std::string operator()(const Session& session) const {
     return writerFor(RecordKind::session)
@@ -70,11 +51,7 @@
     FieldWriter writer = writerFor(RecordKind::runFinished);
     writer.number(finished.run).number(nanoseconds(finished.finishedAt));
     writer.number(static_cast<std::uint8_t>(finished.state));
-    if (finished.state == KeyState::completed) {
-      writer.number(static_cast<std::uint16_t>(finished.response.status))
-          .text(finished.response.contentType)
-          .text<std::uint32_t>(finished.response.body);
-    }
+    if (finished.state == KeyState::completed) writeResponse(writer, finished.response);
     return writer.take();
   }
 };
@@ -120,12 +97,7 @@
   finished.state = static_cast<KeyState>(state);
   reader.require(state <= static_cast<std::uint8_t>(KeyState::uncertain) &&
                  finished.state != KeyState::running);
-  if (finished.state == KeyState::completed) {
-    finished.response.status = reader.number<std::uint16_t>();
-    reader.require(finished.response.status >= kMinStatus && finished.response.status <= kMaxStatus);
-    finished.response.contentType = reader.text();
-    finished.response.body = reader.text<std::uint32_t>();
-  }
+  if (finished.state == KeyState::completed) finished.response = readResponse(reader);
   return finished;
 }
 
--- a/src/idempotency/store.cpp
+++ b/src/idempotency/store.cpp
@@ -317,6 +317,12 @@
   for (StoreObserver* observer : observers_) observer->onAttemptSent(entry.run, attempt);
 }
 
+void Store::waitForRun(EntryId id, Waiter waiter) {
+  Entry& entry = at(id);
+  entry.waiters.push_back(waiter);
+  charge(entry, sizeof(Waiter));
+}
+
 void Store::removeWaiter(EntryId id, Waiter waiter) {
   Entry& entry = at(id);
   const auto it = std::find(entry.waiters.begin(), entry.waiters.end(), waiter);
@@ -402,6 +408,32 @@
   charge(entry, static_cast<std::ptrdiff_t>(entry.response.body.size() + entry.response.contentType.size()));
 }
 
+void Store::removeObserver(StoreObserver& observer) {
+  observers_.erase(std::remove(observers_.begin(), observers_.end(), &observer), observers_.end());
+}
+
+std::optional<Store::EntryView> Store::view(EntryId id) const {
+  if (id >= allocated_ || at(id).state == KeyState::unused) return std::nullopt;
+  const Entry& entry = at(id);
+  EntryView view;
+  view.id = id;
+  view.request = {entry.tenant, entry.classIndex, entry.key, entry.fingerprint, 0};
+  view.state = entry.state;
+  view.run = entry.run;
+  view.isRetry = entry.isRetry;
+  view.attemptSent = entry.attemptSent;
+  if (entry.state == KeyState::completed) view.response = &entry.response;
+  if (entry.earlierAttempt) view.earlierAttempt = &*entry.earlierAttempt;
+  view.expiresAt = entry.expiresAt;
+  return view;
+}
+
+std::optional<Store::EntryView> Store::lookUp(Time now, const KeyedRequest& request) const {
+  const EntryId id = find(hashOf(request), request);
+  if (id == kNone || (at(id).slot >= 0 && now >= at(id).expiresAt)) return std::nullopt;
+  return view(id);
+}
+
 void Store::setSeed(const Seed& seed) {
   if (used_ == 0) seed_ = seed;
 }
--- a/src/idempotency/store.hpp
+++ b/src/idempotency/store.hpp
@@ -128,6 +128,9 @@
   // that time.
   void bindToEarlierAttempt(EntryId id, const EarlierAttempt& attempt, Time until);
 
+  // Adds the request that began a run to the waiters of that run, which another process now executes.
+  void waitForRun(EntryId id, Waiter waiter);
+
   // Removes a waiter that has disconnected or has been answered.
   void removeWaiter(EntryId id, Waiter waiter);
   bool hasWaiters(EntryId id) const;
@@ -151,8 +154,27 @@
   // Removes expired entries. admit() and restore() do so as well.
   void expire(Time now);
 
-  // Observers are called in the order in which they were added and must outlive the store.
+  // Observers are called in the order in which they were added and must outlive the store or be removed,
+  // which must not happen from within a call.
   void addObserver(StoreObserver& observer) { observers_.push_back(&observer); }
+  void removeObserver(StoreObserver& observer);
+
+  // An entry as it is now. The pointers and the key are valid until the next call that changes the store.
+  struct EntryView {
+    EntryId id = kNone;
+    KeyedRequest request;  // without a waiter
+    KeyState state = KeyState::unused;
+    std::uint64_t run = 0;  // number of the current or last run
+    bool isRetry = false, attemptSent = false;
+    const CachedResponse* response = nullptr;        // of a completed entry
+    const EarlierAttempt* earlierAttempt = nullptr;  // null if there is none
+    Time expiresAt{};                                // unless it is running
+  };
+  // Returns nothing if the entry is not in use.
+  std::optional<EntryView> view(EntryId id) const;
+  // Returns nothing if the key has no entry or has expired.
+  std::optional<EntryView> lookUp(Time now, const KeyedRequest& request) const;
+  EntryId entryIdLimit() const { return static_cast<EntryId>(allocated_); }  // every id is below it
 
   const Seed& seed() const { return seed_; }
   void setSeed(const Seed& seed);         // no effect unless the store is empty
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -505,6 +505,42 @@
   }
 }
 
+// Guards against keys that run a second time at the other process, while both serve and after the first has
+// ended.
+TEST_F(ProcessReplacementTest, ProcessesShareIdempotencyKeys) {
+  const std::vector<std::string> arguments{"--operator",
+                                           folder.write("o.toml", "[idempotency]\nenabled = true\n")};
+  const tcp::endpoint ops = reserveEndpoint(io), successorOps = reserveEndpoint(io);
+  program = launch(ops, "first", arguments);
+  ASSERT_TRUE(becomesReady(ops)) << program->logged();
+  const auto put = [&](const std::string& key) {
+    const auto c = Client::connect(io, listener.local_endpoint());
+    c->sendRequest("POST", "/put/1", 2500, "b", "Idempotency-Key: " + key + "\r\n");
+    return c;
+  };
+  const auto answered = [&](const std::shared_ptr<Client>& c) {
+    return until([&] { return !c->answers.empty(); }) && c->answers[0].result_int() == 200;
+  };
+  const auto runs = [&] { return hosts[0]->received.size() + hosts[1]->received.size(); };
+  for (int i = 0; i < 20; ++i) ASSERT_TRUE(answered(put("before-" + std::to_string(i))));
+  successor = launch(successorOps, "second", arguments);
+  ASSERT_TRUE(becomesReady(successorOps)) << successor->logged();
+  // Either process may accept each of these connections.
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_TRUE(answered(put("before-" + std::to_string(i))));
+    for (int repeat = 0; repeat < 3; ++repeat) ASSERT_TRUE(answered(put("beside-" + std::to_string(i))));
+    const auto first = put("at-once-" + std::to_string(i)), second = put("at-once-" + std::to_string(i));
+    ASSERT_TRUE(answered(first));
+    ASSERT_TRUE(answered(second));
+  }
+  EXPECT_EQ(runs(), 60u);
+  program->signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  for (const char* name : {"before-", "beside-", "at-once-"})
+    for (int i = 0; i < 20; ++i) ASSERT_TRUE(answered(put(name + std::to_string(i))));
+  EXPECT_EQ(runs(), 60u) << successor->logged();
+}
+
 // The state of hosts, from /api/hosts and from `finchstile hosts`; without [membership] both are unavailable.
 TEST_F(ProcessReplacementTest, DescribesHostsByAdminApiAndCommand) {
   const tcp::endpoint ops = reserveEndpoint(io), off = reserveEndpoint(io);
