Both processes of a replacement refuse ids of requests whose clients left

What operators saw: an id ran twice when it came again, after its client had left, at the other process of an upgrade. Cause: each process knew only the ids of its own requests. Change: the processes tell each other these ids, those known when the new one starts and each later one, in messages that earlier releases ignore. Messages that may have to wait, ids and records of keys, leave through one queue of ProcessHandover. Result: ProcessReplacementTest.BothProcessesRefuseIdsOfRequestsWhoseClientsLeft passes, with the ids of the first process, and of both while both serve, refused with 409 at either and after the first has ended.

--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -18,17 +18,17 @@
 constexpr std::string_view kCordonFileSuffix = ".out";
 constexpr std::string_view kSocketSuffix = ".next";
 
-// Records of idempotency keys that are sent in one turn of the event loop.
-constexpr std::size_t kKeyRecordsPerTurn = 128;
-// When the other process is asked again to take records.
-constexpr Duration kKeyRetryInterval = std::chrono::milliseconds(1);
+// Messages that are sent in one turn of the event loop.
+constexpr std::size_t kMessagesPerTurn = 128;
+// When the other process is asked again to take messages.
+constexpr Duration kSendRetryInterval = std::chrono::milliseconds(1);
 // How long requests with a key wait for the keys of the predecessor. Half of the time in which a new process
 // has to be ready.
 constexpr Duration kMaxKeyLoadTime = std::chrono::seconds(3);
 // With more records than these unsent, the other process counts as hung.
 constexpr std::size_t kMaxQueuedKeyRecords = 65'536;
-// How long a process that has drained waits for its successor to take the last records.
-constexpr std::chrono::milliseconds kMaxKeyFlushTime{1000};
+// How long a process that has drained waits for its successor to take the last messages.
+constexpr std::chrono::milliseconds kMaxFlushTime{1000};
 
 }  // namespace
 
@@ -47,14 +47,18 @@
       gateway_(gateway),
       idempotency_(idempotency),
       names_(std::move(names)),
-      keyTimer_(io),
+      sendTimer_(io),
       keyLoadTimer_(io) {
+  gateway_.onIdAbandoned([this](std::string_view id, Time added) {
+    if (peer()) queueAbandonedIds({{std::string(id), ageMs(added)}});
+  });
   predecessor_ = handover::connectToPredecessor(io_, path_);
   if (predecessor_) connectPredecessor();
   else listenForSuccessor();
 }
 
 ProcessHandover::~ProcessHandover() {
+  gateway_.onIdAbandoned({});
   for (const auto& channel : {predecessor_, candidate_, successor_})
     if (channel) channel->close();
 }
@@ -69,7 +73,7 @@
     // docs/operators/operations.md documents this line, so its form must not change.
     std::fprintf(stderr, "handover: took over %zu connections at rest\n", connectionsAdopted_);
     predecessor_.reset();
-    endKeyExchange();
+    onPeerLost();
     listenForSuccessor();
   };
   predecessor_->start();
@@ -93,6 +97,7 @@
     if (message.text == handover::kKeysAnnouncement)
       return startKeyExchange(idempotency::KeyReplication::Role::successor, predecessor_);
     if (!keyChannel_) endKeyExchange();  // an earlier release
+    if (const auto ids = handover::decodeAbandonedIds(message.text)) return addAbandonedIds(*ids);
     if (auto part = handover::decodeHostListPart(message.text)) return onHostListPart(std::move(*part));
     const auto learned = handover::decodeLearnedState(message.text);
     if (learned) gateway_.restoreLearnedState(*learned);
@@ -119,8 +124,7 @@
   candidate_ = channel;
   channel->onMessage = [this, from = channel.get()](const Message& message, std::unique_ptr<Descriptor>) {
     if (message.kind == MessageKind::hello && candidate_) onHello(message);
-    else if (message.kind == MessageKind::idempotencyKeys && successor_.get() == from)
-      onSuccessorKeys(message.text);
+    else if (successor_.get() == from) onSuccessorMessage(message);
   };
   channel->onClosed = [this, weak = std::weak_ptr<Channel>(channel)] {
     const auto closed = weak.lock();
@@ -135,7 +139,7 @@
   if (message.text != name_) return channel->close();
   // A newer successor replaces an earlier one.
   if (successor_) successor_->close();
-  endKeyExchange();
+  onPeerLost();
   successor_ = channel;
   welcomeSuccessor();
 }
@@ -151,6 +155,7 @@
                  learned.omittedHosts, handover::kMaxLearnedStateBytes);
   successor_->send({MessageKind::learnedState, std::move(learned.text)});
   sendHostList();
+  sendAbandonedIds();
   if (handingOver_) startHandingOver();
 }
 
@@ -198,17 +203,21 @@
 
 // --- Idempotency keys
 
-void ProcessHandover::onSuccessorKeys(const std::string& record) {
-  if (!keyChannel_) startKeyExchange(idempotency::KeyReplication::Role::predecessor, successor_);
-  onKeyRecord(record);
+void ProcessHandover::onSuccessorMessage(const Message& message) {
+  if (message.kind == MessageKind::idempotencyKeys) {
+    if (!keyChannel_) startKeyExchange(idempotency::KeyReplication::Role::predecessor, successor_);
+    onKeyRecord(message.text);
+  } else if (message.kind == MessageKind::learnedState) {
+    if (const auto ids = handover::decodeAbandonedIds(message.text)) addAbandonedIds(*ids);
+  }
 }
 
 void ProcessHandover::startKeyExchange(idempotency::KeyReplication::Role role,
                                        std::shared_ptr<Channel> channel) {
   if (!idempotency_) return;
   keyChannel_ = std::move(channel);
-  idempotency_->startReplication(role, names_).onOutput = [this] { pumpKeyRecords(); };
-  pumpKeyRecords();
+  idempotency_->startReplication(role, names_).onOutput = [this] { pumpMessages(); };
+  pumpMessages();
 }
 
 void ProcessHandover::onKeyRecord(const std::string& record) {
@@ -220,36 +229,11 @@
 
 void ProcessHandover::endKeyExchange() {
   keyChannel_.reset();
-  unsentKeyRecord_.reset();
-  keyTimer_.cancel();
+  if (unsentMessage_ && unsentMessage_->kind == MessageKind::idempotencyKeys) unsentMessage_.reset();
   keyLoadTimer_.cancel();
   if (idempotency_) idempotency_->endReplication();
 }
 
-// Returns false if more records remain to be sent.
-bool ProcessHandover::sendKeyRecords(std::size_t maxRecords) {
-  for (std::size_t i = 0; i < maxRecords; ++i) {
-    if (!unsentKeyRecord_) unsentKeyRecord_ = idempotency_->replication()->takeRecord();
-    if (!unsentKeyRecord_) return true;
-    const auto result = keyChannel_->send({MessageKind::idempotencyKeys, *unsentKeyRecord_});
-    if (result == Channel::SendResult::failed) return true;  // onClosed follows
-    if (result == Channel::SendResult::wouldBlock) return false;
-    unsentKeyRecord_.reset();
-  }
-  return false;
-}
-
-void ProcessHandover::pumpKeyRecords() {
-  if (pumpingKeys_ || !keyChannel_ || !idempotency_->replication()) return;
-  if (sendKeyRecords(kKeyRecordsPerTurn)) return;
-  pumpingKeys_ = true;
-  keyTimer_.expires_after(kKeyRetryInterval);
-  keyTimer_.async_wait([this](const boost::system::error_code&) {
-    pumpingKeys_ = false;
-    if (!dropHungKeyPeer()) pumpKeyRecords();
-  });
-}
-
 // Returns true if the other process takes no records. It then learns from the closed channel that keys are no
 // longer exchanged.
 bool ProcessHandover::dropHungKeyPeer() {
@@ -265,12 +249,78 @@
   return true;
 }
 
+// --- Ids of requests whose clients left
+
+void ProcessHandover::sendAbandonedIds() {
+  std::vector<handover::AbandonedIdAge> ids;
+  for (const auto& [added, id] : gateway_.abandonedIds().all()) ids.push_back({id, ageMs(added)});
+  queueAbandonedIds(ids);
+}
+
+std::int64_t ProcessHandover::ageMs(Time added) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - added).count();
+}
+
+void ProcessHandover::queueAbandonedIds(const std::vector<handover::AbandonedIdAge>& ids) {
+  for (std::string& text : handover::encodeAbandonedIds(ids))
+    outgoing_.push_back({MessageKind::learnedState, std::move(text)});
+  pumpMessages();
+}
+
+void ProcessHandover::addAbandonedIds(const std::vector<handover::AbandonedIdAge>& ids) {
+  for (const handover::AbandonedIdAge& each : ids)
+    gateway_.addAbandonedId(each.id, clock_.now() - std::chrono::milliseconds(each.ageMs));
+}
+
+// --- Messages that may have to wait
+
+std::optional<Message> ProcessHandover::nextMessage() {
+  if (!outgoing_.empty()) {
+    Message message = std::move(outgoing_.front());
+    outgoing_.pop_front();
+    return message;
+  }
+  if (!keyChannel_ || !idempotency_->replication()) return std::nullopt;
+  auto record = idempotency_->replication()->takeRecord();
+  if (!record) return std::nullopt;
+  return Message{MessageKind::idempotencyKeys, std::move(*record)};
+}
+
+// Returns false if more messages remain to be sent.
+bool ProcessHandover::sendMessages(std::size_t maxMessages) {
+  for (std::size_t i = 0; i < maxMessages; ++i) {
+    if (!unsentMessage_) unsentMessage_ = nextMessage();
+    if (!unsentMessage_) return true;
+    const auto result = peer()->send(*unsentMessage_);
+    if (result == Channel::SendResult::failed) return true;  // onClosed follows
+    if (result == Channel::SendResult::wouldBlock) return false;
+    unsentMessage_.reset();
+  }
+  return false;
+}
+
+void ProcessHandover::pumpMessages() {
+  if (sendPending_ || !peer() || sendMessages(kMessagesPerTurn)) return;
+  sendPending_ = true;
+  sendTimer_.expires_after(kSendRetryInterval);
+  sendTimer_.async_wait([this](const boost::system::error_code&) {
+    sendPending_ = false;
+    if (!dropHungKeyPeer()) pumpMessages();
+  });
+}
+
 // Without its last records the successor would take finished runs for uncertain ones.
-void ProcessHandover::flushKeyRecords() {
-  if (!keyChannel_ || !idempotency_->replication()) return;
-  const auto deadline = std::chrono::steady_clock::now() + kMaxKeyFlushTime;
-  while (!sendKeyRecords(kKeyRecordsPerTurn) && std::chrono::steady_clock::now() < deadline)
-    std::this_thread::sleep_for(kKeyRetryInterval);
+void ProcessHandover::flushMessages() {
+  const auto deadline = std::chrono::steady_clock::now() + kMaxFlushTime;
+  while (!sendMessages(kMessagesPerTurn) && std::chrono::steady_clock::now() < deadline)
+    std::this_thread::sleep_for(kSendRetryInterval);
+}
+
+void ProcessHandover::onPeerLost() {
+  outgoing_.clear();
+  unsentMessage_.reset();
+  sendTimer_.cancel();
+  endKeyExchange();
 }
 
 // --- Connections
@@ -292,7 +342,7 @@
 
 void ProcessHandover::onSuccessorLost() {
   successor_.reset();
-  endKeyExchange();
+  onPeerLost();
   if (!handingOver_) return;
   // docs/operators/operations.md documents this line, so its form must not change.
   std::fprintf(stderr, "handover: the next process is lost after %zu connections; the others are closed\n",
@@ -302,7 +352,7 @@
 
 void ProcessHandover::finish() {
   if (!successor_) return;
-  flushKeyRecords();
+  flushMessages();
   successor_->send({MessageKind::finished, {}});
   // docs/operators/operations.md documents this line, so its form must not change.
   std::fprintf(stderr, "handover: gave %zu connections to the next process\n", connectionsGiven_);
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -6,11 +6,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "handover/abandoned_ids_text.hpp"
 #include "handover/channel.hpp"
 #include "handover/host_list_parts.hpp"
 #include "handover/listener.hpp"
@@ -50,13 +53,20 @@
   void sendHostList();
   void onHostListPart(handover::HostListPart&& part);
   void startKeyExchange(idempotency::KeyReplication::Role role, std::shared_ptr<handover::Channel> channel);
-  void onSuccessorKeys(const std::string& record);
+  void onSuccessorMessage(const handover::Message& message);
   void onKeyRecord(const std::string& record);
   void endKeyExchange();
-  bool sendKeyRecords(std::size_t maxRecords);
-  void pumpKeyRecords();
   bool dropHungKeyPeer();
-  void flushKeyRecords();
+  void sendAbandonedIds();
+  std::int64_t ageMs(Time added) const;
+  void queueAbandonedIds(const std::vector<handover::AbandonedIdAge>& ids);
+  void addAbandonedIds(const std::vector<handover::AbandonedIdAge>& ids);
+  std::optional<handover::Message> nextMessage();
+  bool sendMessages(std::size_t maxMessages);
+  void pumpMessages();
+  void flushMessages();
+  void onPeerLost();
+  const std::shared_ptr<handover::Channel>& peer() const { return successor_ ? successor_ : predecessor_; }
   bool handOver(int fd);
   void onSuccessorLost();
 
@@ -72,10 +82,11 @@
   idempotency::IdempotencyFilter* const idempotency_;
   const idempotency::TenantAndClassNames names_;
   std::shared_ptr<handover::Channel> keyChannel_;  // of the process with which keys are exchanged
-  std::optional<std::string> unsentKeyRecord_;
-  boost::asio::steady_timer keyTimer_;      // the next time to send records
+  std::deque<handover::Message> outgoing_;         // to the peer, before records of keys
+  std::optional<handover::Message> unsentMessage_;
+  boost::asio::steady_timer sendTimer_;     // the next time to send messages
   boost::asio::steady_timer keyLoadTimer_;  // ends the wait for the keys of the predecessor
-  bool pumpingKeys_ = false;
+  bool sendPending_ = false;                // the timer is set
   std::size_t connectionsGiven_ = 0, connectionsAdopted_ = 0;
   bool handingOver_ = false;
 };
--- a/src/handover/message.hpp
+++ b/src/handover/message.hpp
@@ -17,10 +17,11 @@
 //                         payload
 //   kind 4  finished      from the predecessor: no more connections follow; no payload
 //   kind 5  learnedState  from the predecessor, after its welcome: what its load balancer has learned
-//                         (learned_state_text.hpp); then its endpoint list, in parts (host_list_parts.hpp)
+//                         (learned_state_text.hpp); then its endpoint list, in parts (host_list_parts.hpp).
+//                         From either process: ids of requests whose clients left (abandoned_ids_text.hpp)
 //   kind 6  idempotencyKeys  a record of idempotency keys (idempotency/replication_record.hpp). From the
-//                         successor only if the predecessor has announced it by kKeysAnnouncement in a message
-//                         of kind 5, and from the predecessor only after the successor's first one
+//                         successor only if the predecessor has announced it by kKeysAnnouncement in a
+//                         message of kind 5, and from the predecessor only after the successor's first one
 //
 // A process closes its channel when it receives anything else. Between two releases with different formats
 // client connections are therefore closed when the predecessor exits, as if there were no successor.
--- a/src/idempotency/replication_record.cpp
+++ b/src/idempotency/replication_record.cpp
@@ -108,8 +108,7 @@
 
 std::optional<ReplicationRecord> decodeReplicationRecord(std::string_view bytes) {
   if (auto logRecord = decode(bytes))
-    return std::visit([](auto&& typed) { return ReplicationRecord(std::move(typed)); },
-                      std::move(*logRecord));
+    return std::visit([](auto& typed) { return ReplicationRecord(std::move(typed)); }, *logRecord);
   FieldReader reader(bytes);
   auto record = readRecord(reader);
   if (!reader.isComplete()) return std::nullopt;
--- a/src/net/abandoned_ids.hpp
+++ b/src/net/abandoned_ids.hpp
@@ -32,6 +32,8 @@
   }
 
   std::size_t size() const { return ids_.size(); }
+  /// The ids with the times at which they were added, the oldest first.
+  const std::deque<std::pair<Time, std::string>>& all() const { return order_; }
 
  private:
   void removeOldest() {
--- a/src/net/active_request.cpp
+++ b/src/net/active_request.cpp
@@ -22,8 +22,10 @@
   const auto found = requests_.find(id);
   if (found == requests_.end() || !found->second.finished || found->second.pendingExchanges > 0) return;
   const ActiveRequest& request = found->second;
-  if (request.clientLeft && request.mayHaveRun && !request.repeatable)
+  if (request.clientLeft && request.mayHaveRun && !request.repeatable) {
     abandonedIds_.add(request.correlationId(), request.arrivedAt);
+    if (onIdAbandoned) onIdAbandoned(request.correlationId(), request.arrivedAt);
+  }
   correlationIds_.erase(std::string(request.correlationId()));
   requests_.erase(found);
 }
--- a/src/net/active_request.hpp
+++ b/src/net/active_request.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/beast/http.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -68,6 +69,12 @@
   /// Removes the request and frees its correlation id if it has finished and nothing of it is pending.
   void releaseIfDone(load_balancing::RequestId id);
 
+  /// Ids of requests whose clients left, including those that another process has reported.
+  AbandonedIds& abandonedIds() { return abandonedIds_; }
+  const AbandonedIds& abandonedIds() const { return abandonedIds_; }
+  /// Called for each such id of a request of this process.
+  std::function<void(std::string_view id, Time arrivedAt)> onIdAbandoned;
+
   std::size_t size() const { return requests_.size(); }
   std::vector<load_balancing::RequestId> unfinished() const;
   std::size_t unfinishedCount() const;
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -107,6 +107,14 @@
   void handOverClients(std::function<bool(int fd)> handOver);
   /// Takes over the connection of an idle client from another process. Takes ownership of the descriptor.
   void adoptClient(int fd) { listener_.adopt(fd); }
+  /// Ids of requests whose clients left while a host may have been executing them; requests that come with
+  /// them again are refused. `added` times are of this process's clock.
+  const AbandonedIds& abandonedIds() const { return requests_.table().abandonedIds(); }
+  void addAbandonedId(std::string_view id, Time added) { requests_.table().abandonedIds().add(id, added); }
+  /// `onAbandoned` is called for each id that this process adds itself.
+  void onIdAbandoned(std::function<void(std::string_view id, Time added)> onAbandoned) {
+    requests_.table().onIdAbandoned = std::move(onAbandoned);
+  }
 
   // --- State.
   /// Returns true if there are hosts and the gateway neither drains nor is in lame duck mode.
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -541,6 +541,46 @@
   EXPECT_EQ(runs(), 60u) << successor->logged();
 }
 
+// Guards against a second execution at the other process of a request whose client left while its host was
+// executing it.
+TEST_F(ProcessReplacementTest, BothProcessesRefuseIdsOfRequestsWhoseClientsLeft) {
+  for (const auto& host : hosts) host->handler = [](const auto&, const Received&) {};
+  const auto executions = [&] { return hosts[0]->received.size() + hosts[1]->received.size(); };
+  const auto book = [&](const std::string& id) {
+    const auto c = Client::connect(io, listener.local_endpoint());
+    c->write("POST /book HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: " + id +
+             "\r\nX-Time-Left-Ms: 2900\r\nContent-Length: 1\r\n\r\nx");
+    return c;
+  };
+  const auto bookAndLeave = [&](const std::string& id) {
+    const std::size_t before = executions();
+    const auto c = book(id);
+    ASSERT_TRUE(until([&] { return executions() == before + 1; }));
+    c->close();
+  };
+  const auto isRefused = [&](const std::string& id) {
+    const auto c = book(id);
+    return until([&] { return !c->answers.empty(); }) && c->answers[0].result_int() == 409;
+  };
+  const tcp::endpoint ops = reserveEndpoint(io), successorOps = reserveEndpoint(io);
+  program = launch(ops, "first");
+  ASSERT_TRUE(becomesReady(ops)) << program->logged();
+  bookAndLeave("before");
+  ASSERT_TRUE(isRefused("before"));
+  successor = launch(successorOps, "second");
+  ASSERT_TRUE(becomesReady(successorOps)) << successor->logged();
+  // Either process may accept each of these connections.
+  for (int i = 0; i < 8; ++i) bookAndLeave("beside-" + std::to_string(i));
+  const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+  until([&] { return std::chrono::steady_clock::now() >= end; });
+  for (int i = 0; i < 8; ++i) EXPECT_TRUE(isRefused("beside-" + std::to_string(i)));
+  program->signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return program->ended(); }));
+  EXPECT_TRUE(isRefused("before"));
+  for (int i = 0; i < 8; ++i) EXPECT_TRUE(isRefused("beside-" + std::to_string(i)));
+  EXPECT_EQ(executions(), 9u);
+}
+
 // The state of hosts, from /api/hosts and from `finchstile hosts`; without [membership] both are unavailable.
 TEST_F(ProcessReplacementTest, DescribesHostsByAdminApiAndCommand) {
   const tcp::endpoint ops = reserveEndpoint(io), off = reserveEndpoint(io);
--- a/tests/fuzz/idempotency_record.cpp
+++ b/tests/fuzz/idempotency_record.cpp
@@ -1,5 +1,5 @@
-// Decodes any bytes as a record of the idempotency log, and of the exchange of keys between two processes. A valid
-// record has exactly one encoding.
+// Decodes any bytes as a record of the idempotency log, and of the exchange of keys between two processes. A
+// valid record has exactly one encoding.
 #include <cstdlib>
 
 #include "fuzz/target.hpp"
