The benchmark of configuration changes stops its loop before its objects go

Cause: in a round the fake control machine was destroyed while the thread of its event loop could still run its handlers. Change: a round stops the loop first.

--- a/bench/configuration_changes.cpp
+++ b/bench/configuration_changes.cpp
@@ -63,9 +63,11 @@
 class Loop {
  public:
   Loop() : work_(asio::make_work_guard(io)), thread_([this] { io.run(); }) {}
-  ~Loop() {
+  ~Loop() { stop(); }
+  // What runs on the loop must be destroyed after this call only.
+  void stop() {
     io.stop();
-    thread_.join();
+    if (thread_.joinable()) thread_.join();
   }
   asio::io_context io{1};
 
@@ -91,6 +93,10 @@
     machine_->log.publish(tenants);
   }
 
+  ~MeasuredRound() { control_.stop(); }
+  MeasuredRound(const MeasuredRound&) = delete;
+  MeasuredRound& operator=(const MeasuredRound&) = delete;
+
   Round run() {
     if (variant_ == Variant::direct) return sendRequests(host_.endpoint());
     const nlohmann::json config = configFor(host_, fake_upstream::classJson({"get", "retryable", "all"}));
